--- /dev/null
+++ b/crates/bamboowheel/src/callers.rs
@@ -0,0 +1,266 @@
+//! Callers' requests over HTTP.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::poll_fn;
+use http::{Method, Response, StatusCode, Uri};
+use policy::{Ask, Fingerprint};
+use tokio::sync::{mpsc, oneshot};
+use wire::Call;
+use world::{Code, Rule};
+use xitca_web::body::{Body, Frame, RequestBody, ResponseBody};
+use xitca_web::http::{WebRequest, WebResponse};
+
+use crate::attempt::{Attempt, Event};
+use crate::exchange::{Answer, Exchange, Feed, Refusal};
+use crate::headers;
+use crate::node::{Busy, Node};
+use crate::pieces::{DEPTH, PIECE_LIMIT, Piece, Pieces};
+use crate::refusal::{insert, refusal};
+
+/// The part of a body that is held, so that the request can be sent again.
+const PREFIX: usize = 16 * 1024;
+/// The longest wait for the next bytes of a caller's body.
+const BODY_WAIT: Duration = Duration::from_secs(30);
+/// The longest idempotency key, in bytes.
+const KEY_LIMIT: usize = 255;
+/// The longest path with its query, in bytes.
+const PATH_LIMIT: usize = 8 * 1024;
+
+/// Serves one request.
+pub async fn serve(node: Arc<Node>, request: WebRequest) -> WebResponse {
+    let begun = Instant::now();
+    let busy = node.busy();
+    let (head, body) = request.into_parts();
+    let (_, body) = body.replace_body(());
+    let id = request_id(&node, &head.headers);
+    let parsed = Parsed::new(&node, &head.method, &head.uri, &head.headers);
+    let parsed = match parsed {
+        Ok(parsed) => parsed,
+        Err(code) => return refuse(&node, Refusal { code, not_run: true }, id),
+    };
+    let class = parsed.rule.class;
+    let is_head = head.method == Method::HEAD;
+    let fields = headers::end_to_end(&head.headers);
+    let answer = exchange(&node, parsed, head.method, fields, body, id).await;
+    let tenant = node.inventory().tenant.clone();
+    match answer {
+        Ok(answer) => {
+            node.metrics.answered(&tenant, class, begun.elapsed().as_secs_f64());
+            respond(&node, answer, id, is_head, busy)
+        }
+        Err(refusal) => refuse(&node, refusal, id),
+    }
+}
+
+fn refuse(node: &Node, told: Refusal, id: u64) -> WebResponse {
+    node.metrics.result(told.code);
+    tracing::debug!("entry: request {id:016x}: {}", told.code);
+    let mut response = refusal(told.code, told.not_run, id);
+    if node.is_draining() {
+        insert(response.headers_mut(), "connection", "close");
+    }
+    response
+}
+
+/// Takes the caller's own id where it gave one that fits, or makes one.
+fn request_id(node: &Node, headers: &http::HeaderMap) -> u64 {
+    let given = headers::text(headers, headers::REQUEST_ID.as_str());
+    let given = given.filter(|id| id.len() == 16);
+    given.and_then(|id| u64::from_str_radix(id, 16).ok()).unwrap_or_else(|| node.unique())
+}
+
+/// What the rules and the head say.
+struct Parsed {
+    rule: Rule,
+    path: String,
+    key: Option<String>,
+    length: Option<u64>,
+    deadline_ms: u64,
+}
+
+impl Parsed {
+    fn new(
+        node: &Node,
+        method: &Method,
+        uri: &Uri,
+        headers: &http::HeaderMap,
+    ) -> Result<Parsed, Code> {
+        if node.is_draining() {
+            return Err(Code::ShuttingDown);
+        }
+        if !node.is_ready() {
+            return Err(Code::StoreDown);
+        }
+        let path = uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        if path.len() > PATH_LIMIT {
+            return Err(Code::HeadTooLarge);
+        }
+        let rule = node.inventory().rule(method.as_str(), &path).ok_or(Code::NoService)?;
+        let key = rule.key_header.as_deref().and_then(|name| headers::text(headers, name));
+        if key.is_some_and(|key| key.is_empty() || key.len() > KEY_LIMIT) {
+            return Err(Code::BadRequest);
+        }
+        if key.is_none() && rule.key_required {
+            return Err(Code::KeyMissing);
+        }
+        let length = headers::text(headers, "content-length");
+        let length = length.map(|length| length.parse().map_err(|_| Code::BadRequest));
+        let left = headers::text(headers, headers::DEADLINE.as_str());
+        let left =
+            left.map(|left| left.parse::<u64>().map_err(|_| Code::BadRequest)).transpose()?;
+        let deadline_ms = left.unwrap_or(u64::MAX).min(rule.deadline_ms);
+        let (key, length) = (key.map(str::to_owned), length.transpose()?);
+        Ok(Parsed { rule, path, key, length, deadline_ms })
+    }
+}
+
+async fn exchange(
+    node: &Arc<Node>,
+    parsed: Parsed,
+    method: Method,
+    fields: Vec<wire::Field>,
+    body: RequestBody,
+    id: u64,
+) -> Result<Answer, Refusal> {
+    let Parsed { rule, path, key, length, deadline_ms } = parsed;
+    let deadline = node.now().after(deadline_ms * 1_000);
+    let mut upload = Upload { body, left: Bytes::new(), ended: false };
+    let prefix = upload.prefix().await.ok_or(Refusal { code: Code::BadRequest, not_run: true })?;
+    let whole = upload.ended;
+    let ask = Ask {
+        service: rule.service.clone(),
+        class: rule.class,
+        idempotent: rule.idempotent,
+        keyed: key.is_some(),
+        whole,
+        deadline,
+    };
+    let call = Call {
+        request: id,
+        print: Fingerprint::of(&rule.service, method.as_str(), &path, &prefix),
+        service: rule.service,
+        class: rule.class,
+        left_us: deadline_ms * 1_000,
+        method: method.to_string(),
+        path,
+        fields,
+        length,
+        key,
+        spare: false,
+        prefix: prefix.to_vec(),
+        whole,
+    };
+    let feed: Feed = Box::new(move |pieces, fed| {
+        tokio::task::spawn_local(upload.feed(pieces, fed));
+    });
+    Exchange::run(node.clone(), call, ask, (!whole).then_some(feed)).await
+}
+
+/// A caller's body.
+struct Upload {
+    body: RequestBody,
+    /// Read already, and not yet passed on.
+    left: Bytes,
+    /// Whether the caller sent all of it.
+    ended: bool,
+}
+
+impl Upload {
+    /// Reads the first bytes of the body. None where the caller cut it.
+    async fn prefix(&mut self) -> Option<Bytes> {
+        let mut prefix = BytesMut::new();
+        while prefix.len() < PREFIX {
+            match self.next().await? {
+                Piece::Data(mut bytes) => {
+                    let room = PREFIX - prefix.len();
+                    self.left = bytes.split_off(room.min(bytes.len()));
+                    prefix.extend_from_slice(&bytes);
+                }
+                Piece::End => {
+                    self.ended = true;
+                    break;
+                }
+            }
+        }
+        Some(prefix.freeze())
+    }
+
+    /// Passes the rest of the body on, with back-pressure. A body that is cut gets no end.
+    async fn feed(mut self, pieces: mpsc::Sender<Piece>, fed: oneshot::Sender<()>) {
+        loop {
+            while !self.left.is_empty() {
+                let piece = self.left.split_to(PIECE_LIMIT.min(self.left.len()));
+                if pieces.send(Piece::Data(piece)).await.is_err() {
+                    return;
+                }
+            }
+            match self.next().await {
+                Some(Piece::Data(bytes)) => self.left = bytes,
+                Some(Piece::End) => {
+                    let _ = pieces.send(Piece::End).await;
+                    let _ = fed.send(());
+                    return;
+                }
+                None => return,
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Option<Piece> {
+        let frame = poll_fn(|context| Pin::new(&mut self.body).poll_frame(context));
+        match tokio::time::timeout(BODY_WAIT, frame).await.ok()? {
+            Some(Ok(Frame::Data(bytes))) => Some(Piece::Data(bytes)),
+            Some(Ok(Frame::Trailers(_))) | None => Some(Piece::End),
+            Some(Err(_)) => None,
+        }
+    }
+}
+
+fn respond(
+    node: &Arc<Node>,
+    answer: Answer,
+    id: u64,
+    is_head: bool,
+    busy: Busy,
+) -> Response<ResponseBody> {
+    let Answer { status, fields, length, attempt } = answer;
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let is_bare = is_head || [204, 304].contains(&status.as_u16()) || length == Some(0);
+    let body = match is_bare {
+        true => ResponseBody::bytes(Bytes::new()),
+        false => {
+            let (sender, receiver) = mpsc::channel(DEPTH);
+            node.runtime.spawn(pump(attempt, sender, busy));
+            ResponseBody::boxed(Pieces::new(Bytes::new(), Some(receiver), length))
+        }
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    headers::add_fields(response.headers_mut(), &fields);
+    insert(response.headers_mut(), headers::REQUEST_ID.as_str(), &format!("{id:016x}"));
+    if node.is_draining() {
+        insert(response.headers_mut(), "connection", "close");
+    }
+    response
+}
+
+/// Passes an answer's body on. One that is cut gets no end, so that the caller sees it is cut.
+async fn pump(mut attempt: Attempt, pieces: mpsc::Sender<Piece>, _busy: Busy) {
+    while let Some(event) = attempt.events.recv().await {
+        let piece = match event {
+            Event::Chunk(bytes) => Piece::Data(bytes),
+            Event::End => Piece::End,
+            _ => return,
+        };
+        let is_end = piece == Piece::End;
+        if pieces.send(piece).await.is_err() || is_end {
+            // The caller's connection still writes the last pieces.
+            pieces.closed().await;
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/bamboowheel/src/exchange.rs
@@ -0,0 +1,239 @@
+//! One caller's request at the entry: attempts, until one answers or none can.
+
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::task::Poll;
+
+use policy::{Ask, End, Load, Step};
+use tokio::sync::{mpsc, oneshot};
+use wire::Call;
+use world::{Code, Name};
+
+use crate::attempt::{self, Attempt, Event};
+use crate::node::{Node, lock};
+use crate::pieces::Piece;
+
+/// The head of an answer, and the attempt from which its body comes.
+#[derive(Debug)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// End-to-end headers.
+    pub fields: Vec<wire::Field>,
+    /// The body's length, where it is known.
+    pub length: Option<u64>,
+    /// Brings the body.
+    pub attempt: Attempt,
+}
+
+/// A request that was not answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Refusal {
+    /// Why.
+    pub code: Code,
+    /// Whether it certainly did not run.
+    pub not_run: bool,
+}
+
+/// Takes the rest of a body, once its target is settled. The signal is given when it is sent whole.
+pub type Feed = Box<dyn FnOnce(mpsc::Sender<Piece>, oneshot::Sender<()>)>;
+
+/// A caller's request.
+pub struct Exchange {
+    node: Arc<Node>,
+    call: Call,
+    ask: Ask,
+    state: policy::Call,
+    attempts: Vec<Attempt>,
+    /// Sends the rest of the body; taken once.
+    feed: Option<Feed>,
+    /// Told when the rest of the body is sent.
+    fed: Option<oneshot::Receiver<()>>,
+    /// A failed answer that is given where no other comes.
+    failed: Option<Answer>,
+}
+
+impl Exchange {
+    /// Runs a request to the head of its answer.
+    pub async fn run(
+        node: Arc<Node>,
+        call: Call,
+        ask: Ask,
+        feed: Option<Feed>,
+    ) -> Result<Answer, Refusal> {
+        let (state, step) = {
+            let mut choosing = lock(&node.choosing);
+            let choosing = &mut *choosing;
+            choosing.entry.begin(node.now(), ask.clone(), &mut choosing.rng)
+        };
+        let attempts = Vec::new();
+        let mut exchange =
+            Exchange { node, call, ask, state, attempts, feed, fed: None, failed: None };
+        exchange.finish(step).await
+    }
+
+    async fn finish(&mut self, mut step: Step) -> Result<Answer, Refusal> {
+        loop {
+            match step {
+                Step::Send(target) => self.begin(target, false),
+                Step::Hedge(target) => {
+                    self.node.note(Code::Hedged, &self.call.service, Some(self.call.request));
+                    self.begin(target, true);
+                }
+                Step::Wait(_) => {}
+                Step::GiveUp(code, not_run) => {
+                    return self.failed.take().ok_or(Refusal { code, not_run });
+                }
+            }
+            step = match self.next().await {
+                Next::Answer(answer) => return Ok(answer),
+                Next::Step(step) => step,
+            };
+        }
+    }
+
+    fn begin(&mut self, target: Name, spare: bool) {
+        if self.state.attempts() > 1 && !spare {
+            self.node.note(Code::Retried, &self.call.service, Some(self.call.request));
+        }
+        let left_us = self.ask.deadline.since(self.node.now());
+        let call = Call { spare, left_us, ..self.call.clone() };
+        self.attempts.push(attempt::begin(&self.node, target, call));
+    }
+
+    async fn next(&mut self) -> Next {
+        let due = self.node.clock.instant(self.state.due());
+        let (at, event) = tokio::select! {
+            event = next_event(&mut self.attempts) => event,
+            _ = sent(&mut self.fed), if self.fed.is_some() => {
+                self.fed = None;
+                self.state.sent_whole(self.node.now());
+                return Next::Step(Step::Wait(self.state.due()));
+            }
+            _ = tokio::time::sleep_until(due) => return Next::Step(self.timer()),
+        };
+        self.handle(at, event)
+    }
+
+    fn timer(&mut self) -> Step {
+        let mut choosing = lock(&self.node.choosing);
+        let choosing = &mut *choosing;
+        self.state.timer(self.node.now(), &mut choosing.entry, &mut choosing.rng)
+    }
+
+    fn handle(&mut self, at: usize, event: Option<Event>) -> Next {
+        let target = self.attempts[at].target.clone();
+        let wait = Step::Wait(self.state.due());
+        match event {
+            None => self.ended(at, End::Lost, None),
+            Some(Event::Wait) => {
+                self.state.heard(&target);
+                Next::Step(wait)
+            }
+            Some(Event::Run(load) | Event::Stored(load)) => {
+                self.running(at, load);
+                Next::Step(wait)
+            }
+            Some(
+                Event::Refused { code, not_run, load } | Event::Failed { code, not_run, load },
+            ) => self.ended(at, end(code, not_run), Some(load)),
+            Some(Event::Head { status, fields, length, load }) => {
+                self.head(at, status, fields, length, load)
+            }
+            Some(Event::Chunk(_) | Event::End) => self.ended(at, End::Lost, None),
+        }
+    }
+
+    /// The target is settled as far as the body goes: its rest may flow to this attempt alone.
+    fn running(&mut self, at: usize, load: Load) {
+        let attempt = &mut self.attempts[at];
+        self.state.heard(&attempt.target);
+        let now = self.node.now();
+        lock(&self.node.choosing).entry.reported(now, &self.call.service, &attempt.target, load);
+        let Some(body) = attempt.body.take() else { return };
+        self.state.streamed(now);
+        if let Some(feed) = self.feed.take() {
+            let (sender, fed) = oneshot::channel();
+            self.fed = Some(fed);
+            feed(body, sender);
+        }
+    }
+
+    fn head(
+        &mut self,
+        at: usize,
+        status: u16,
+        fields: Vec<wire::Field>,
+        length: Option<u64>,
+        load: Load,
+    ) -> Next {
+        let now = self.node.now();
+        if is_failure(status) && self.failed.is_none() {
+            let attempt = self.attempts.swap_remove(at);
+            let target = attempt.target.clone();
+            self.failed = Some(Answer { status, fields, length, attempt });
+            return self.decided(&target, End::Failed(Code::AnswerCut), Some(load));
+        }
+        let attempt = self.attempts.swap_remove(at);
+        let mut choosing = lock(&self.node.choosing);
+        let choosing = &mut *choosing;
+        self.state.answered(now, &mut choosing.entry, &attempt.target, Some(load));
+        let probe = choosing.entry.probe(now, &self.call.service, &mut choosing.rng);
+        if let Some(target) = probe {
+            let service = self.call.service.clone();
+            self.node.runtime.spawn(attempt::probe(self.node.clone(), service, target));
+        }
+        Next::Answer(Answer { status, fields, length, attempt })
+    }
+
+    fn ended(&mut self, at: usize, end: End, load: Option<Load>) -> Next {
+        let attempt = self.attempts.swap_remove(at);
+        self.decided(&attempt.target, end, load)
+    }
+
+    fn decided(&mut self, target: &Name, end: End, load: Option<Load>) -> Next {
+        let mut choosing = lock(&self.node.choosing);
+        let choosing = &mut *choosing;
+        let now = self.node.now();
+        let (entry, rng) = (&mut choosing.entry, &mut choosing.rng);
+        Next::Step(self.state.ended(now, entry, rng, target, end, load))
+    }
+}
+
+enum Next {
+    Answer(Answer),
+    Step(Step),
+}
+
+async fn next_event(attempts: &mut [Attempt]) -> (usize, Option<Event>) {
+    poll_fn(|context| {
+        for (at, attempt) in attempts.iter_mut().enumerate() {
+            if let Poll::Ready(event) = attempt.events.poll_recv(context) {
+                return Poll::Ready((at, event));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+async fn sent(fed: &mut Option<oneshot::Receiver<()>>) {
+    if let Some(fed) = fed {
+        let _ = fed.await;
+    }
+}
+
+fn end(code: Code, not_run: bool) -> End {
+    match code {
+        code if not_run => End::Refused(code),
+        Code::KeyRunning | Code::KeyUnknown | Code::KeyReused | Code::AnswerLost => {
+            End::Denied(code)
+        }
+        code => End::Failed(code),
+    }
+}
+
+/// Whether an answer says that its target failed.
+fn is_failure(status: u16) -> bool {
+    matches!(status, 500 | 502 | 503 | 504)
+}
--- /dev/null
+++ b/crates/bamboowheel/src/gate.rs
@@ -0,0 +1,319 @@
+//! The guard of this node's target, and the requests that wait for its decisions.
+
+use std::sync::{Arc, Mutex};
+
+use policy::{Action, Guard, Load, Offer, Outcome, Permit, Settings, Time};
+use tokio::sync::{mpsc, oneshot};
+use wire::Call;
+use world::{Announcement, Code, Inventory, Name};
+
+use crate::attempt::Event;
+use crate::dispatch;
+use crate::node::{Node, lock};
+use crate::once::{self, Held};
+use crate::pieces::Piece;
+
+/// What is taken of a cold target before the rules are known.
+const UNKNOWN: Settings = Settings { cold_slots: 1, warm_answers: 8 };
+
+type Waiter = (u64, oneshot::Sender<Result<(), Code>>);
+
+#[derive(Debug)]
+struct State {
+    guard: Guard,
+    /// Those who wait for a decision, sorted by id.
+    waiters: Vec<Waiter>,
+    next: u64,
+}
+
+/// The guard behind a lock.
+#[derive(Debug)]
+pub struct Gate {
+    state: Mutex<State>,
+}
+
+impl Gate {
+    /// Opens the gate of a node without a target.
+    pub fn new(now: Time) -> Gate {
+        let guard = Guard::new(now, UNKNOWN);
+        Gate { state: Mutex::new(State { guard, waiters: Vec::new(), next: 0 }) }
+    }
+
+    /// Takes over the rules for the target's service and data centre.
+    pub fn configure(&self, node: &Node, inventory: &Inventory) {
+        let out = inventory.is_out(&node.settings.data_centre);
+        self.with(|guard| {
+            let service = guard.target().and_then(|target| inventory.service(&target.service));
+            if let Some(service) = service {
+                let (cold_slots, warm_answers) = (service.cold_slots, service.warm_answers);
+                guard.configure(Settings { cold_slots, warm_answers });
+            }
+            ((), guard.set_out(node.now(), out))
+        });
+    }
+
+    /// Takes in an announcement. Returns whether the target is another one than before.
+    pub fn announced(&self, node: &Node, announcement: Announcement) -> bool {
+        let inventory = node.inventory();
+        self.with(|guard| {
+            if let Some(service) = inventory.service(&announcement.service) {
+                let (cold_slots, warm_answers) = (service.cold_slots, service.warm_answers);
+                guard.configure(Settings { cold_slots, warm_answers });
+            }
+            (guard.announced(node.now(), announcement), Vec::new())
+        })
+    }
+
+    /// Marks the target as dead.
+    pub fn died(&self, now: Time) {
+        self.with(|guard| ((), guard.died(now)));
+    }
+
+    /// Begins to drain.
+    pub fn drain(&self, now: Time) {
+        self.with(|guard| ((), guard.drain(now)));
+    }
+
+    /// Does what is due by time alone. Returns whether the target is up.
+    pub fn tick(&self, now: Time) -> bool {
+        self.with(|guard| {
+            let actions = guard.tick(now);
+            (guard.target().is_some(), actions)
+        })
+    }
+
+    /// Returns the load report for the next frame.
+    pub fn load(&self) -> Load {
+        self.with(|guard| (guard.load(), Vec::new()))
+    }
+
+    /// Returns the target's announcement, where it is up.
+    pub fn target(&self) -> Option<Announcement> {
+        self.with(|guard| (guard.target().cloned(), Vec::new()))
+    }
+
+    /// Returns how many requests run and wait, and how often the limit was cut.
+    pub fn counts(&self) -> (usize, u64) {
+        self.with(|guard| ((guard.pending(), guard.cuts()), Vec::new()))
+    }
+
+    /// Notes that the target has the whole body of a request.
+    pub fn received(&self, now: Time, id: u64) {
+        self.with(|guard| {
+            guard.received(now, id);
+            ((), Vec::new())
+        });
+    }
+
+    /// Notes that the target began to answer.
+    pub fn headed(&self, now: Time, id: u64, success: bool) {
+        self.with(|guard| {
+            guard.headed(now, id, success);
+            ((), Vec::new())
+        });
+    }
+
+    fn with<R>(&self, decide: impl FnOnce(&mut Guard) -> (R, Vec<Action>)) -> R {
+        let mut state = lock(&self.state);
+        let (result, actions) = decide(&mut state.guard);
+        state.act(actions);
+        result
+    }
+
+    /// Asks for a place at the target.
+    fn offer(&self, node: &Arc<Node>, call: &Call, deadline: Time) -> Place {
+        let mut state = lock(&self.state);
+        state.next += 1;
+        let id = state.next;
+        let (sender, decision) = oneshot::channel();
+        state.waiters.push((id, sender));
+        let offer = Offer { id, class: call.class, deadline, spare: call.spare };
+        let actions = state.guard.offer(node.now(), offer);
+        state.act(actions);
+        Place { node: node.clone(), id, outcome: Outcome::Cancelled, decision }
+    }
+}
+
+impl State {
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (id, decision) = match action {
+                Action::Run(id) => (id, Ok(())),
+                Action::Refuse(id, code) => (id, Err(code)),
+            };
+            if let Ok(at) = self.waiters.binary_search_by_key(&id, |(id, _)| *id) {
+                let (_, waiter) = self.waiters.remove(at);
+                let _ = waiter.send(decision);
+            }
+        }
+    }
+}
+
+/// A place at the target, asked for or held. Dropping it gives it back.
+#[derive(Debug)]
+pub struct Place {
+    node: Arc<Node>,
+    id: u64,
+    /// How the request ends, should the place be dropped now.
+    pub outcome: Outcome,
+    decision: oneshot::Receiver<Result<(), Code>>,
+}
+
+impl Place {
+    /// Notes that the target has the whole body.
+    pub fn received(&self) {
+        self.node.gate.received(self.node.now(), self.id);
+    }
+
+    /// Notes that the target began to answer.
+    pub fn headed(&self, success: bool) {
+        self.node.gate.headed(self.node.now(), self.id, success);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        let mut state = lock(&self.node.gate.state);
+        state.waiters.retain(|(id, _)| *id != self.id);
+        if !state.guard.withdraw(now, self.id) {
+            let actions = state.guard.done(now, self.id, self.outcome);
+            state.act(actions);
+        }
+    }
+}
+
+/// A suspect's right to run, given back when dropped.
+#[derive(Debug)]
+struct Watched {
+    node: Arc<Node>,
+    print: policy::Fingerprint,
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        lock(&self.node.suspects).released(self.print);
+    }
+}
+
+/// Serves one request at this node's target, from its first decision to its whole answer.
+pub async fn serve(
+    node: Arc<Node>,
+    call: Call,
+    body: mpsc::Receiver<Piece>,
+    events: mpsc::Sender<Event>,
+) {
+    let deadline = node.now().after(call.left_us);
+    let admitted = tokio::select! {
+        admitted = admit(&node, &call, deadline, &events) => admitted,
+        _ = events.closed() => return,
+    };
+    match admitted {
+        Ok(admitted) => dispatch::run(node, call, body, events, admitted).await,
+        Err(refused) => {
+            let _ = events.send(refused).await;
+        }
+    }
+}
+
+/// What a request needs to be dispatched.
+#[derive(Debug)]
+pub struct Admitted {
+    /// Its place at the target.
+    pub place: Place,
+    /// Its idempotency key's record, where it has one.
+    pub held: Option<Held>,
+    /// When its answer must begin.
+    pub deadline: Time,
+    /// Where the target takes requests.
+    pub target: Announcement,
+    /// Its right to run although it is a suspect, given back when dropped.
+    _watched: Option<Watched>,
+}
+
+/// Decides whether a request runs here. Everything refused here was not dispatched.
+async fn admit(
+    node: &Arc<Node>,
+    call: &Call,
+    deadline: Time,
+    events: &mpsc::Sender<Event>,
+) -> Result<Admitted, Event> {
+    let refuse = |code| {
+        let load = node.gate.load();
+        Event::Refused { code, not_run: true, load }
+    };
+    let target = node.gate.target().filter(|target| target.service == call.service);
+    let target = target.ok_or_else(|| refuse(Code::NoTarget))?;
+    let watched = watch(node, call).map_err(refuse)?;
+    let held = match &call.key {
+        Some(key) => {
+            let _ = events.send(Event::Wait).await;
+            Some(once::win(node, call, key, deadline, events).await?)
+        }
+        None => None,
+    };
+    match wait(node, call, deadline, events).await {
+        Ok(place) => Ok(Admitted { place, held, deadline, target, _watched: watched }),
+        Err(code) => {
+            if let Some(held) = held {
+                held.void().await;
+            }
+            Err(refuse(code))
+        }
+    }
+}
+
+async fn wait(
+    node: &Arc<Node>,
+    call: &Call,
+    deadline: Time,
+    events: &mpsc::Sender<Event>,
+) -> Result<Place, Code> {
+    let mut place = node.gate.offer(node, call, deadline);
+    let decision = match place.decision.try_recv() {
+        Ok(decision) => decision,
+        Err(_) => {
+            let _ = events.send(Event::Wait).await;
+            (&mut place.decision).await.unwrap_or(Err(Code::Overload))
+        }
+    };
+    decision.map(|()| place)
+}
+
+/// Refuses a request that crashes its targets, and lets suspects run one by one.
+fn watch(node: &Arc<Node>, call: &Call) -> Result<Option<Watched>, Code> {
+    let permit = lock(&node.suspects).admit(node.now(), call.print);
+    match permit {
+        Permit::Free => Ok(None),
+        Permit::Alone => Ok(Some(Watched { node: node.clone(), print: call.print })),
+        Permit::Busy => Err(Code::Overload),
+        Permit::Refused => {
+            node.note(Code::Quarantined, &call.service, Some(call.request));
+            Err(Code::Quarantined)
+        }
+    }
+}
+
+/// Ticks the guard, and tells the others when the target comes or goes.
+pub async fn tick(node: Arc<Node>) {
+    const EVERY: std::time::Duration = std::time::Duration::from_millis(2);
+    const IDLE: std::time::Duration = std::time::Duration::from_millis(50);
+    let mut was: Option<Name> = None;
+    loop {
+        let (pending, _) = node.gate.counts();
+        tokio::time::sleep(if pending > 0 { EVERY } else { IDLE }).await;
+        node.gate.tick(node.now());
+        let service = node.gate.target().map(|target| target.service);
+        if service == was {
+            continue;
+        }
+        match &service {
+            Some(service) => node.note(Code::TargetUp, service, None),
+            None => node.note(Code::TargetDown, was.as_deref().unwrap_or_default(), None),
+        }
+        let told = lock(&node.members).set_service(service.clone());
+        was = service;
+        node.act(told);
+        node.reroute();
+    }
+}
--- /dev/null
+++ b/crates/bamboowheel/src/metrics.rs
@@ -0,0 +1,131 @@
+//! The node's metrics, in the text form that Prometheus reads.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use world::{Class, Code};
+
+/// Upper bounds of latency buckets, in seconds.
+const LATENCY_BOUNDS: [f64; 16] = [
+    0.0005, 0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5,
+    10.0,
+];
+
+/// Labels of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// The users' name.
+    pub tenant: String,
+    /// The request's class.
+    pub class: String,
+}
+
+/// Labels of a result.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CodeLabels {
+    /// The result's number.
+    pub code: u32,
+}
+
+/// What a node counts.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Time from a request's head to its answer's head, in seconds.
+    latency: Family<CallLabels, Histogram>,
+    /// Refusals and failures told to callers.
+    results: Family<CodeLabels, Counter>,
+    /// Decisions noted as events.
+    decisions: Family<CodeLabels, Counter>,
+    /// Bytes of control messages sent, with their packets.
+    pub control_bytes: Counter,
+    /// Control messages sent.
+    pub control_messages: Counter,
+    /// Calls to the table service.
+    pub store_calls: Counter,
+    /// Requests that the target runs.
+    pub running: Gauge,
+    /// The target's limit.
+    pub limit: Gauge,
+    /// The version of the configuration in force.
+    pub version: Gauge<u64, AtomicU64>,
+    /// Other nodes that are up.
+    pub members: Gauge,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BOUNDS)
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        let mut registry = Registry::with_prefix("bamboowheel");
+        let latency = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
+        let metrics = Metrics {
+            latency,
+            results: Family::default(),
+            decisions: Family::default(),
+            control_bytes: Counter::default(),
+            control_messages: Counter::default(),
+            store_calls: Counter::default(),
+            running: Gauge::default(),
+            limit: Gauge::default(),
+            version: Gauge::default(),
+            members: Gauge::default(),
+            registry: Registry::default(),
+        };
+        registry.register("call_seconds", "Time until the answer began", metrics.latency.clone());
+        registry.register("results", "Refusals and failures by code", metrics.results.clone());
+        registry.register("decisions", "Decisions by code", metrics.decisions.clone());
+        let bytes = metrics.control_bytes.clone();
+        registry.register("control_bytes", "Bytes of control messages sent", bytes);
+        let messages = metrics.control_messages.clone();
+        registry.register("control_messages", "Control messages sent", messages);
+        registry.register("store_calls", "Calls to the table service", metrics.store_calls.clone());
+        registry.register("running", "Requests that the target runs", metrics.running.clone());
+        registry.register("limit", "The target's limit", metrics.limit.clone());
+        registry.register("config_version", "Version in force", metrics.version.clone());
+        registry.register("members", "Other nodes that are up", metrics.members.clone());
+        Metrics { registry, ..metrics }
+    }
+}
+
+impl Metrics {
+    /// Notes an answer that began after `seconds`.
+    pub fn answered(&self, tenant: &str, class: Class, seconds: f64) {
+        let labels = CallLabels { tenant: tenant.to_owned(), class: class.to_string() };
+        self.latency.get_or_create(&labels).observe(seconds);
+    }
+
+    /// Notes a refusal or failure told to a caller.
+    pub fn result(&self, code: Code) {
+        self.results.get_or_create(&CodeLabels { code: code.number().into() }).inc();
+    }
+
+    /// Notes a decision.
+    pub fn decision(&self, code: Code) {
+        self.decisions.get_or_create(&CodeLabels { code: code.number().into() }).inc();
+    }
+
+    /// Notes a control message of `bytes` with the headers of its packet.
+    pub fn control(&self, bytes: usize) {
+        /// IP, UDP and QUIC headers and the authentication tag of one packet, in bytes.
+        const PACKET: u64 = 64;
+        self.control_bytes.inc_by(bytes as u64 + PACKET);
+        self.control_messages.inc();
+    }
+
+    /// Returns every metric as text.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        match text::encode(&mut out, &self.registry) {
+            Ok(()) => out,
+            Err(_) => String::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bamboowheel/src/run.rs
@@ -0,0 +1,160 @@
+//! Starts the node, and drains it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gumdrop::Options;
+use tokio::runtime::{Builder, Handle};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use world::Code;
+
+use crate::links::Links;
+use crate::node::{Node, lock};
+use crate::settings::{Args, Settings, USAGE};
+use crate::{admin, callers, gate, gossip, logs, peers, server, spread, tls};
+
+/// Threads that drive links, targets and the store.
+const THREADS: usize = 2;
+/// Time in which peers learn of a leaving node before it refuses callers.
+const NOTICE: Duration = Duration::from_millis(300);
+
+/// Runs the program. Returns its exit code.
+pub fn main() -> i32 {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let args = match Args::parse_args_default(&arguments) {
+        Ok(args) => args,
+        Err(error) => return usage_error(&error.to_string()),
+    };
+    if args.help {
+        println!("{USAGE}\n{}", Args::usage());
+        return 0;
+    }
+    if args.version {
+        println!("bamboowheel {}", env!("CARGO_PKG_VERSION"));
+        return 0;
+    }
+    let settings = match Settings::check(args, |name| std::env::var(name).ok()) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            let code = Code::BadSetting;
+            faults.iter().for_each(|fault| eprintln!("bamboowheel: {code}: {fault}"));
+            return code.exit();
+        }
+    };
+    logs::start(settings.log_form, settings.log_level);
+    let runtime = match Builder::new_multi_thread().worker_threads(THREADS).enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return usage_error(&error.to_string()),
+    };
+    runtime.block_on(run(settings))
+}
+
+fn usage_error(detail: &str) -> i32 {
+    eprintln!("bamboowheel: {}: {detail}", Code::Usage);
+    Code::Usage.exit()
+}
+
+async fn run(settings: Settings) -> i32 {
+    let started = match Started::start(settings) {
+        Ok(started) => started,
+        Err((code, detail)) => {
+            tracing::error!("node: {code}: {detail}");
+            return code.exit();
+        }
+    };
+    let (Ok(mut term), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return Code::CannotBind.exit();
+    };
+    next(&mut term, &mut interrupt).await;
+    let code = tokio::select! {
+        code = drain(&started.node) => code,
+        _ = next(&mut term, &mut interrupt) => cut(&started.node),
+    };
+    started.callers.stop();
+    started.admin.stop();
+    code
+}
+
+async fn next(term: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+struct Started {
+    node: Arc<Node>,
+    callers: server::Running,
+    admin: server::Running,
+}
+
+impl Started {
+    fn start(settings: Settings) -> Result<Started, (Code, String)> {
+        let cannot_bind = |error: std::io::Error| (Code::CannotBind, error.to_string());
+        let identity =
+            tls::open(&settings.trust).map_err(|error| (Code::BadSetting, error.to_string()))?;
+        if settings.trust == crate::settings::Trust::Development {
+            tracing::warn!("links: development mode, any node may join");
+        }
+        let caller_side = server::bind(settings.listen).map_err(cannot_bind)?;
+        let admin_side = server::bind(settings.admin).map_err(cannot_bind)?;
+        let links = Links::bind(settings.link, identity).map_err(cannot_bind)?;
+        let threads = settings.threads;
+        let (caller_address, admin_address) = (caller_side.address, admin_side.address);
+        let node = Arc::new(Node::new(settings, links, Handle::current()));
+        let callers = server::spawn(caller_side, threads, node.clone(), callers::serve);
+        let callers = callers.map_err(cannot_bind)?;
+        let admin = server::spawn(admin_side, 1, node.clone(), admin::serve);
+        let admin = admin.map_err(cannot_bind)?;
+        let name = &node.settings.name;
+        tracing::info!("node: {name} serves callers at {caller_address}, admin at {admin_address}");
+        spawn_tasks(&node);
+        Ok(Started { node, callers, admin })
+    }
+}
+
+fn spawn_tasks(node: &Arc<Node>) {
+    tokio::spawn(peers::accept(node.clone()));
+    tokio::spawn(gate::tick(node.clone()));
+    tokio::spawn(gossip::tick(node.clone()));
+    tokio::spawn(gossip::register(node.clone()));
+    let node = node.clone();
+    tokio::spawn(async move {
+        gossip::join(&node).await;
+        spread::ask_all(&node).await;
+        node.set_joined();
+        tokio::join!(gossip::keep_list(node.clone()), spread::poll(node));
+    });
+}
+
+/// Refuses what is new, finishes what runs, and returns the exit code.
+async fn drain(node: &Arc<Node>) -> i32 {
+    tracing::info!("node: draining begins with {} exchanges", node.exchanges());
+    node.note(Code::Draining, &node.settings.name, None);
+    let told = lock(&node.members).leave();
+    node.act(told);
+    tokio::time::sleep(NOTICE).await;
+    node.set_draining();
+    let limit = node.settings.drain_limit;
+    let idle = async {
+        while node.exchanges() > 0 {
+            let _ = tokio::time::timeout(Duration::from_millis(50), node.idle.notified()).await;
+        }
+    };
+    match tokio::time::timeout(limit, idle).await {
+        Ok(()) => {
+            tracing::info!("node: drained");
+            0
+        }
+        Err(_) => cut(node),
+    }
+}
+
+/// Says what is cut, and returns the exit code.
+fn cut(node: &Node) -> i32 {
+    let code = Code::DrainLimit;
+    tracing::error!("node: {code}: {} exchanges are cut", node.exchanges());
+    code.exit()
+}
--- /dev/null
+++ b/crates/bamboowheel/src/server.rs
@@ -0,0 +1,84 @@
+//! Binds HTTP servers.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use xitca_web::HttpServer;
+use xitca_web::http::{WebRequest, WebResponse};
+use xitca_web::service::fn_service;
+
+use crate::node::Node;
+
+/// The longest request head, in bytes; also what is read of a body at once.
+const HEAD_LIMIT: usize = 64 * 1024;
+/// What is written of an answer at once, in bytes.
+const WRITE_LIMIT: usize = 64 * 1024;
+/// The most headers of a request.
+const HEADERS: usize = 96;
+/// The longest wait for the next request on a connection.
+const KEEP_ALIVE: std::time::Duration = std::time::Duration::from_secs(60);
+/// The longest wait for a whole request head.
+const HEAD_WAIT: std::time::Duration = std::time::Duration::from_secs(10);
+
+/// A bound server.
+#[derive(Debug)]
+pub struct Bound {
+    listener: TcpListener,
+    /// Where it is bound.
+    pub address: SocketAddr,
+}
+
+/// A running server. It goes on until it is stopped.
+pub struct Running {
+    handle: xitca_server::ServerHandle,
+}
+
+impl Running {
+    /// Stops the server. Exchanges under way are to be over by then.
+    pub fn stop(&self) {
+        self.handle.stop(false);
+    }
+}
+
+/// Binds an address.
+pub fn bind(address: SocketAddr) -> std::io::Result<Bound> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    Ok(Bound { listener, address })
+}
+
+/// Serves requests with `handle` from now on.
+pub fn spawn<F, Fut>(
+    bound: Bound,
+    threads: usize,
+    node: Arc<Node>,
+    handle: F,
+) -> std::io::Result<Running>
+where
+    F: Fn(Arc<Node>, WebRequest) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = WebResponse> + 'static,
+{
+    let service = fn_service(async move |request: WebRequest| {
+        Ok::<_, Infallible>(handle(node.clone(), request).await)
+    });
+    let mut server = HttpServer::serve(service)
+        .worker_threads(threads)
+        .disable_signal()
+        .max_read_buf_size::<HEAD_LIMIT>()
+        .max_write_buf_size::<WRITE_LIMIT>()
+        .max_request_headers::<HEADERS>()
+        .keep_alive_timeout(KEEP_ALIVE)
+        .request_head_timeout(HEAD_WAIT)
+        .listen(bound.listener)?
+        .run();
+    let handle = server.handle()?;
+    tokio::spawn(async move {
+        if let Err(error) = server.await {
+            tracing::error!("server: {error}");
+        }
+    });
+    Ok(Running { handle })
+}
--- /dev/null
+++ b/crates/bamboowheelctl/src/lib.rs
@@ -0,0 +1,118 @@
+//! The operators' program: checks and applies inventories, marks data centres, looks at nodes.
+
+mod change;
+mod cmd;
+mod error;
+mod http;
+mod output;
+mod store;
+
+pub use change::{Accepted, change, current};
+pub use error::Error;
+
+use gumdrop::Options;
+
+const USAGE: &str = "\
+Checks and applies the inventory of a bamboowheel, marks data centres, and looks at nodes.
+
+Usage:
+    bamboowheelctl [options] COMMAND [arguments]
+
+Commands:
+    check       check an inventory file
+    apply       check an inventory file and put it in force
+    show        show the inventory in force
+    history     list the accepted changes
+    dc          take a data centre out of service, or back in
+    status      show what nodes say of themselves
+    events      show what nodes decided lately
+    certs       make certificates for the links between nodes
+
+bamboowheelctl COMMAND --help says more. Store options may be given as environment variables:
+--store as BAMBOOWHEEL_STORE, and so on. Exit codes are listed in docs/ERRORS.md.
+
+Options:";
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help", no_short)]
+    help: bool,
+    #[options(help = "print the version", no_short)]
+    version: bool,
+    #[options(help = "print JSON instead of tables", no_short)]
+    json: bool,
+    #[options(help = "address of the table service (default the region's own)", no_short)]
+    store: Option<String>,
+    #[options(help = "region of the table service (default us-east-1)", no_short)]
+    store_region: Option<String>,
+    #[options(help = "the table's name (default bamboowheel)", no_short)]
+    store_table: Option<String>,
+    #[options(help = "id of the store's access key", no_short)]
+    store_access_key: Option<String>,
+    #[options(help = "secret of the store's access key; better given by variable", no_short)]
+    store_secret_key: Option<String>,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "check an inventory file")]
+    Check(cmd::check::Args),
+    #[options(help = "check an inventory file and put it in force")]
+    Apply(cmd::apply::Args),
+    #[options(help = "show the inventory in force")]
+    Show(cmd::show::Args),
+    #[options(help = "list the accepted changes")]
+    History(cmd::history::Args),
+    #[options(help = "take a data centre out of service, or back in")]
+    Dc(cmd::dc::Args),
+    #[options(help = "show what nodes say of themselves")]
+    Status(cmd::status::Args),
+    #[options(help = "show what nodes decided lately")]
+    Events(cmd::events::Args),
+    #[options(help = "make certificates for the links between nodes")]
+    Certs(cmd::certs::Args),
+}
+
+/// Runs the program. Returns its exit code.
+pub fn main() -> i32 {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match run(&arguments) {
+        Ok(()) => 0,
+        Err(error) => {
+            eprintln!("bamboowheelctl: {error}");
+            error.code().exit()
+        }
+    }
+}
+
+fn run(arguments: &[String]) -> Result<(), Error> {
+    let args = Args::parse_args_default(arguments)?;
+    if args.version {
+        println!("bamboowheelctl {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let Some(command) = args.command.as_ref().filter(|_| !args.help) else {
+        println!("{USAGE}\n{}", Args::usage());
+        return if args.help { Ok(()) } else { Err(Error::usage("a command is needed")) };
+    };
+    let store = store::Options {
+        endpoint: args.store.clone(),
+        region: args.store_region.clone(),
+        table: args.store_table.clone(),
+        access_key: args.store_access_key.clone(),
+        secret_key: args.store_secret_key.clone(),
+    };
+    let context = cmd::Context { json: args.json, store };
+    match command {
+        Command::Check(args) => cmd::check::run(&context, args),
+        Command::Apply(args) => cmd::apply::run(&context, args),
+        Command::Show(args) => cmd::show::run(&context, args),
+        Command::History(args) => cmd::history::run(&context, args),
+        Command::Dc(args) => cmd::dc::run(&context, args),
+        Command::Status(args) => cmd::status::run(&context, args),
+        Command::Events(args) => cmd::events::run(&context, args),
+        Command::Certs(args) => cmd::certs::run(&context, args),
+    }
+}
--- /dev/null
+++ b/crates/bamboowheelctl/src/main.rs
@@ -0,0 +1,5 @@
+//! The operators' program of bamboowheel: see `bamboowheelctl --help`.
+
+fn main() {
+    std::process::exit(bamboowheelctl::main());
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,12 @@
+//! The platform's table service: a seam of a few calls, its adapter over the published DynamoDB
+//! JSON protocol, and an in-memory fake with faults.
+//!
+//! The object store is not used: every row fits the table's limit of 400 KB.
+
+mod dynamo;
+mod fake;
+mod table;
+
+pub use dynamo::{Dynamo, Settings};
+pub use fake::{Fake, Faults};
+pub use table::{Condition, Error, ROW_LIMIT, Row, Table, Write};
--- /dev/null
+++ b/crates/policy/src/guard.rs
@@ -0,0 +1,352 @@
+//! The guard: the one counter in front of one target.
+
+use world::{Announcement, Class, Code, TargetState};
+
+use crate::queue::{Queue, Waiting};
+use crate::{Limit, Load, Phase, Time};
+
+/// A target that has not announced itself for this long is taken for dead.
+const SILENCE_US: u64 = 3_000_000;
+/// Waiting requests per running one, at most.
+const QUEUE_PER_SLOT: usize = 2;
+/// Overdue running requests that together are a sign of a fall back to cold.
+const OVERDUE_SIGN: usize = 3;
+
+/// What the rules say about the target's service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// What a cold target bears at once, above zero.
+    pub cold_slots: u32,
+    /// Answers after which a cold target bears one more at once, above zero.
+    pub warm_answers: u32,
+}
+
+/// A request that asks to run.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    /// Unique at this guard.
+    pub id: u64,
+    /// Its class.
+    pub class: Class,
+    /// When its answer must begin.
+    pub deadline: Time,
+    /// Whether it runs at once or not at all, as a hedge does.
+    pub spare: bool,
+}
+
+/// What the guard's owner must do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    /// Dispatch this request to the target now.
+    Run(u64),
+    /// Refuse this request; it was not dispatched.
+    Refuse(u64, Code),
+}
+
+/// How a dispatched request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The target answered, and its whole answer was taken.
+    Answered,
+    /// The target said that it did not run the request.
+    Shed,
+    /// The connection broke while the target ran it.
+    Broken,
+    /// The caller gave up, or the deadline passed.
+    Cancelled,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    id: u64,
+    /// When it was dispatched.
+    sent: Time,
+    /// When the target had its whole body; never before that.
+    begun: Option<Time>,
+    /// Whether its answer began.
+    headed: bool,
+}
+
+/// The state in front of one target. All work for the target passes through it.
+#[derive(Clone, Debug)]
+pub struct Guard {
+    settings: Settings,
+    /// None until a target announced itself.
+    target: Option<Announcement>,
+    heard: Time,
+    limit: Limit,
+    queue: Queue,
+    /// Sorted by id; never more than the limit at the time of a dispatch.
+    running: Vec<Running>,
+    /// The node drains.
+    draining: bool,
+    /// The operators took the data centre out.
+    out: bool,
+    seq: u32,
+    /// Limit cuts since the guard opened.
+    cuts: u64,
+}
+
+impl Guard {
+    /// Opens a guard without a target.
+    pub fn new(now: Time, settings: Settings) -> Guard {
+        Guard {
+            settings,
+            target: None,
+            heard: now,
+            limit: Limit::new(0, settings.cold_slots, settings.warm_answers, now),
+            queue: Queue::new(now),
+            running: Vec::new(),
+            draining: false,
+            out: false,
+            seq: 0,
+            cuts: 0,
+        }
+    }
+
+    /// Takes over changed rules. They hold from the target's next start or fall.
+    pub fn configure(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
+    /// Returns the target's announcement, where it is up.
+    pub fn target(&self) -> Option<&Announcement> {
+        self.target.as_ref()
+    }
+
+    /// Returns how many requests run and wait.
+    pub fn pending(&self) -> usize {
+        self.running.len() + self.queue.len()
+    }
+
+    /// Returns how often the limit was cut.
+    pub fn cuts(&self) -> u64 {
+        self.cuts
+    }
+
+    /// Takes in a target's announcement or heartbeat. Returns whether the target is another one.
+    pub fn announced(&mut self, now: Time, announcement: Announcement) -> bool {
+        let known = self.target.as_ref().map(|target| (target.incarnation, target.state));
+        if known.is_some_and(|(incarnation, _)| incarnation > announcement.incarnation) {
+            return false;
+        }
+        self.heard = now;
+        let fresh = known.is_none_or(|(incarnation, _)| incarnation < announcement.incarnation);
+        if fresh {
+            let Settings { cold_slots, warm_answers } = self.settings;
+            self.limit = Limit::new(announcement.slots, cold_slots, warm_answers, now);
+        }
+        self.limit.set_slots(announcement.slots);
+        let was_cold = known.is_some_and(|(_, state)| state == TargetState::Cold);
+        if announcement.state == TargetState::Cold && !was_cold {
+            self.cut(now);
+        }
+        self.target = Some(announcement);
+        fresh
+    }
+
+    /// Marks the target as dead. What waits is refused; what runs ends by its own connections.
+    pub fn died(&mut self, now: Time) -> Vec<Action> {
+        self.target = None;
+        self.refuse_all(now, Code::NoTarget)
+    }
+
+    /// Begins to drain: nothing new is taken, what waits is refused, what runs ends.
+    pub fn drain(&mut self, now: Time) -> Vec<Action> {
+        self.draining = true;
+        self.refuse_all(now, Code::ShuttingDown)
+    }
+
+    /// Marks the data centre as out or in. On its return the target ramps as if cold.
+    pub fn set_out(&mut self, now: Time, out: bool) -> Vec<Action> {
+        let back = self.out && !out;
+        self.out = out;
+        if back {
+            self.cut(now);
+        }
+        match out {
+            true => self.refuse_all(now, Code::OutOfService),
+            false => Vec::new(),
+        }
+    }
+
+    /// Decides on a request. No action for it means that it waits.
+    pub fn offer(&mut self, now: Time, offer: Offer) -> Vec<Action> {
+        let mut actions = self.expire(now);
+        let decision = self.decide(now, &offer, &mut actions);
+        actions.extend(decision);
+        actions
+    }
+
+    /// Notes that the target has the whole body of a request, so that its service time begins.
+    pub fn received(&mut self, now: Time, id: u64) {
+        if let Ok(at) = self.find(id) {
+            self.running[at].begun.get_or_insert(now);
+        }
+    }
+
+    /// Notes that the target began to answer, and whether with success.
+    pub fn headed(&mut self, now: Time, id: u64, success: bool) {
+        let Ok(at) = self.find(id) else { return };
+        let running = &mut self.running[at];
+        running.headed = true;
+        if let Some(begun) = running.begun.filter(|_| success) {
+            if self.limit.answered(now, running.sent, begun) {
+                self.cuts += 1;
+            }
+        }
+    }
+
+    /// Takes in how a dispatched request ended, and its place is free again.
+    pub fn done(&mut self, now: Time, id: u64, outcome: Outcome) -> Vec<Action> {
+        let Ok(at) = self.find(id) else { return Vec::new() };
+        self.running.remove(at);
+        match outcome {
+            Outcome::Shed | Outcome::Broken => self.cut(now),
+            Outcome::Answered | Outcome::Cancelled => {}
+        }
+        let mut actions = self.expire(now);
+        self.start(now, &mut actions);
+        actions
+    }
+
+    /// Withdraws a request that waits.
+    pub fn withdraw(&mut self, now: Time, id: u64) -> bool {
+        self.queue.remove(now, id)
+    }
+
+    /// Does what is due by time alone. To be called every few milliseconds while work is pending.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        if self.target.is_some() && now.since(self.heard) > SILENCE_US {
+            return self.died(now);
+        }
+        if self.is_overdue(now) {
+            self.cut(now);
+        }
+        let mut actions = self.expire(now);
+        self.start(now, &mut actions);
+        actions
+    }
+
+    /// Returns the load report for the next frame to an entry.
+    pub fn load(&mut self) -> Load {
+        self.seq += 1;
+        Load {
+            seq: self.seq,
+            phase: self.phase(),
+            running: self.running.len() as u16,
+            queued: self.queue.len() as u16,
+            limit: self.limit.limit() as u16,
+            service_us: self.limit.service_us() as u32,
+        }
+    }
+
+    /// Returns what the target can take.
+    pub fn phase(&self) -> Phase {
+        match &self.target {
+            None => Phase::Down,
+            Some(_) if self.draining || self.out => Phase::Leaving,
+            Some(target) if target.state == TargetState::Draining => Phase::Leaving,
+            Some(_) if self.limit.is_cold() => Phase::Cold,
+            Some(_) => Phase::Warm,
+        }
+    }
+
+    fn decide(&mut self, now: Time, offer: &Offer, actions: &mut Vec<Action>) -> Option<Action> {
+        if let Some(code) = self.closed() {
+            return Some(Action::Refuse(offer.id, code));
+        }
+        if offer.deadline <= now {
+            return Some(Action::Refuse(offer.id, Code::DeadlinePassed));
+        }
+        if self.queue.is_empty() && self.has_room() {
+            return Some(self.run(now, offer.id));
+        }
+        if offer.spare {
+            return Some(Action::Refuse(offer.id, Code::Overload));
+        }
+        let waiting =
+            Waiting { id: offer.id, class: offer.class, arrived: now, deadline: offer.deadline };
+        if self.is_worth_waiting(now, offer) {
+            self.queue.push(now, waiting);
+            return None;
+        }
+        let Some(evicted) = self.queue.evict_below(offer.class) else {
+            return Some(Action::Refuse(offer.id, Code::Overload));
+        };
+        actions.push(Action::Refuse(evicted.id, Code::Overload));
+        self.queue.push(now, waiting);
+        None
+    }
+
+    fn find(&self, id: u64) -> Result<usize, usize> {
+        self.running.binary_search_by_key(&id, |running| running.id)
+    }
+
+    fn closed(&self) -> Option<Code> {
+        match &self.target {
+            _ if self.draining => Some(Code::ShuttingDown),
+            _ if self.out => Some(Code::OutOfService),
+            None => Some(Code::NoTarget),
+            Some(target) if target.state == TargetState::Draining => Some(Code::OutOfService),
+            Some(_) => None,
+        }
+    }
+
+    fn has_room(&self) -> bool {
+        self.running.len() < self.limit.limit() as usize
+    }
+
+    fn is_worth_waiting(&self, now: Time, offer: &Offer) -> bool {
+        let limit = self.limit.limit().max(1) as usize;
+        if self.queue.len() >= limit * QUEUE_PER_SLOT {
+            return false;
+        }
+        let ahead = self.queue.ahead(offer.class) + 1;
+        let wait_us = self.limit.service_us() * ahead as f64 / limit as f64;
+        let patience_us = self.queue.patience_us(now, offer.class) as f64;
+        wait_us <= patience_us && now.after(wait_us as u64) < offer.deadline
+    }
+
+    fn run(&mut self, now: Time, id: u64) -> Action {
+        let at = self.running.partition_point(|running| running.id < id);
+        self.running.insert(at, Running { id, sent: now, begun: None, headed: false });
+        Action::Run(id)
+    }
+
+    fn start(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while self.closed().is_none() && self.has_room() {
+            let Some(waiting) = self.queue.pop(now) else { return };
+            let action = self.run(now, waiting.id);
+            actions.push(action);
+        }
+    }
+
+    fn expire(&mut self, now: Time) -> Vec<Action> {
+        let gone = self.queue.expire(now);
+        gone.into_iter().map(|(waiting, code)| Action::Refuse(waiting.id, code)).collect()
+    }
+
+    fn refuse_all(&mut self, now: Time, code: Code) -> Vec<Action> {
+        let all = self.queue.clear(now);
+        all.into_iter().map(|waiting| Action::Refuse(waiting.id, code)).collect()
+    }
+
+    fn cut(&mut self, now: Time) {
+        if self.limit.cut(now) {
+            self.cuts += 1;
+        }
+    }
+
+    fn is_overdue(&self, now: Time) -> bool {
+        let Some(overdue_us) = self.limit.overdue_us().filter(|_| !self.limit.is_cold()) else {
+            return false;
+        };
+        let late = |running: &&Running| {
+            let begun = running.begun.filter(|_| !running.headed);
+            begun.is_some_and(|begun| now.since(begun) > overdue_us)
+        };
+        let count = self.running.iter().filter(late).count();
+        count >= OVERDUE_SIGN && count * 2 > self.running.len()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,35 @@
+//! The decisions of bamboowheel as plain state machines.
+//!
+//! Nothing here opens a socket, reads a clock, spawns a task or draws from a global generator. The
+//! caller passes the time and a seeded generator; events go in and actions come out. The node
+//! drives these machines over sockets, tests and benchmarks drive them in virtual time.
+
+mod bucket;
+mod call;
+mod entry;
+mod guard;
+mod limit;
+mod load;
+mod members;
+mod once;
+mod picker;
+mod queue;
+mod service;
+mod suspects;
+mod time;
+mod versions;
+
+pub use bucket::Bucket;
+pub use call::{Ask, Call, End, Step};
+pub use entry::Entry;
+pub use guard::{Action, Guard, Offer, Outcome, Settings};
+pub use limit::Limit;
+pub use load::{Load, Phase};
+pub use members::{Health, Member, MemberAction, Members, Message, Probe};
+pub use once::{Once, OnceRecord, OnceState, OnceStep, Stored, TableReply};
+pub use picker::{Health as TargetHealth, Picker, Route};
+pub use queue::{Queue, Waiting};
+pub use service::ServiceState;
+pub use suspects::{Fingerprint, Permit, Suspects, Suspicion};
+pub use time::Time;
+pub use versions::Versions;
