A call crosses no threads on its way

Cause: the entry ran on one thread, links and targets on two others, and each of the five messages of a call woke another thread. Ruled out by counting: packets (2.13 datagrams a call) and system calls. A cut small answer is now told with a code in place of a broken connection.

--- a/crates/bamboowheel/src/admin.rs
+++ b/crates/bamboowheel/src/admin.rs
@@ -49,8 +49,7 @@
     if node.gate.announced(node, announcement) {
         tracing::info!("guard: a target announced itself at {address}");
         let node = node.clone();
-        let runtime = node.runtime.clone();
-        runtime.spawn(async move { node.pool.warm(address, slots as usize).await });
+        node.clone().spawn(async move { node.pool.warm(address, slots as usize).await });
     }
     answer(StatusCode::OK, &json!({ "node": node.settings.name }))
 }
--- a/crates/bamboowheel/src/attempt.rs
+++ b/crates/bamboowheel/src/attempt.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use policy::Load;
 use quinn::{RecvStream, SendStream, VarInt};
 use tokio::sync::mpsc;
-use wire::{Answer, Call, Field, Open, Verdict};
+use wire::{Call, Open, Verdict};
 use world::{Code, Name};
 
 use crate::gate;
@@ -15,52 +14,25 @@
 use crate::peers::{CUT, answer_body};
 use crate::pieces::{DEPTH, Piece};
 
-/// What an attempt's owner is told, in this order: waits, then a refusal or a run; after a run a
-/// failure or a head; after a head chunks and an end. A channel that closes before the last event
-/// was cut.
+/// What an attempt's owner is told, in this order. A channel that closes before a refusal, a failure
+/// or the end was cut.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    /// The request waits at the guard.
-    Wait,
-    /// It is dispatched, and the rest of its body may come.
-    Run(Load),
-    /// The answer of an earlier run follows.
-    Stored(Load),
-    /// It was not dispatched.
-    Refused {
-        /// Why.
-        code: Code,
-        /// Whether neither it nor any other request with its key ran.
-        not_run: bool,
-        /// The load that stood against it.
-        load: Load,
-    },
-    /// It was dispatched and not answered.
-    Failed {
-        /// Why.
-        code: Code,
-        /// Whether it is certain that it did not run.
-        not_run: bool,
-        /// The load after that.
-        load: Load,
-    },
-    /// The answer began.
-    Head {
-        /// The HTTP status.
-        status: u16,
-        /// End-to-end headers.
-        fields: Vec<Field>,
-        /// The body's length, where it is known.
-        length: Option<u64>,
-        /// The load after that.
-        load: Load,
-    },
+    /// The guard's word.
+    Said(Verdict),
     /// Bytes of the answer's body.
     Chunk(Bytes),
     /// The answer is whole.
     End,
 }
 
+impl Event {
+    /// Returns the refusal of a request to which no link could be opened.
+    pub fn no_link() -> Event {
+        Event::Said(Verdict::Refused { code: Code::LinkFailed, not_run: true, load: None })
+    }
+}
+
 /// An attempt under way. Dropping it gives it up.
 #[derive(Debug)]
 pub struct Attempt {
@@ -80,15 +52,13 @@
     let is_here = target == node.settings.name;
     match node.address_of(&target) {
         _ if is_here => {
-            node.runtime.spawn(gate::serve(node.clone(), call, body, sender));
+            node.spawn(gate::serve(node.clone(), call, body, sender));
         }
         Some(address) => {
-            node.runtime.spawn(remote(node.clone(), address, call, body, sender));
+            node.spawn(remote(node.clone(), address, call, body, sender));
         }
         None => {
-            let load = Load::default();
-            let refused = Event::Refused { code: Code::LinkFailed, not_run: true, load };
-            let _ = sender.try_send(refused);
+            let _ = sender.try_send(Event::no_link());
         }
     }
     Attempt { target, events, body: feed }
@@ -105,9 +75,7 @@
         Ok(streams) => streams,
         Err(error) => {
             tracing::debug!("entry: {error}");
-            let load = Load::default();
-            let refused = Event::Refused { code: Code::LinkFailed, not_run: true, load };
-            let _ = events.send(refused).await;
+            let _ = events.send(Event::no_link()).await;
             return;
         }
     };
@@ -131,43 +99,34 @@
         body: mpsc::Receiver<Piece>,
         events: &mpsc::Sender<Event>,
     ) -> Option<()> {
-        let (request, whole) = (call.request, call.whole);
+        let (request, mut body) = (call.request, Some(body).filter(|_| !call.whole));
         let send = self.send.as_mut()?;
+        let is_whole = call.whole;
         wire::write(send, &Open::Call(Box::new(call))).await.ok()?;
-        if whole {
+        if is_whole {
             send.finish().ok()?;
         }
         loop {
-            match wire::read(&mut self.receive).await.ok()? {
-                Verdict::Wait => events.send(Event::Wait).await.ok()?,
-                Verdict::Refuse { code, not_run, load } => {
-                    return events.send(Event::Refused { code, not_run, load }).await.ok();
-                }
-                Verdict::Stored(load) => {
-                    events.send(Event::Stored(load)).await.ok()?;
-                    break;
-                }
-                Verdict::Run(load) => {
-                    events.send(Event::Run(load)).await.ok()?;
-                    break;
+            let said: Verdict = wire::read(&mut self.receive).await.ok()?;
+            if let Verdict::Head { request: answered, .. } = &said {
+                if *answered != request {
+                    tracing::error!("entry: the answer to {answered:016x} came for {request:016x}");
+                    return None;
                 }
             }
-        }
-        if !whole {
-            tokio::spawn(give_body(self.send.take()?, body));
-        }
-        match wire::read(&mut self.receive).await.ok()? {
-            Answer::Failed { code, not_run, load } => {
-                events.send(Event::Failed { code, not_run, load }).await.ok()
+            let (is_run, is_head) =
+                (matches!(said, Verdict::Run(_)), matches!(said, Verdict::Head { .. }));
+            let is_end = matches!(said, Verdict::Refused { .. } | Verdict::Failed { .. });
+            events.send(Event::Said(said)).await.ok()?;
+            if is_end {
+                return Some(());
             }
-            Answer::Head { request: answered, .. } if answered != request => {
-                tracing::error!("entry: the answer to {answered:016x} came for {request:016x}");
-                None
-            }
-            Answer::Head { status, fields, length, load, .. } => {
-                events.send(Event::Head { status, fields, length, load }).await.ok()?;
+            if is_head {
                 answer_body(&mut self.receive, events).await;
-                Some(())
+                return Some(());
+            }
+            if let Some(body) = body.take_if(|_| is_run) {
+                tokio::spawn(give_body(self.send.take()?, body));
             }
         }
     }
--- a/crates/bamboowheel/src/callers.rs
+++ b/crates/bamboowheel/src/callers.rs
@@ -47,13 +47,28 @@
     let fields = headers::end_to_end(&head.headers);
     let answer = exchange(&node, parsed, head.method, fields, body, id).await;
     let tenant = node.inventory().tenant.clone();
-    match answer {
-        Ok(answer) => {
-            node.metrics.answered(&tenant, class, begun.elapsed().as_secs_f64());
-            respond(&node, answer, id, is_head, busy)
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(refusal) => return refuse(&node, refusal, id),
+    };
+    node.metrics.answered(&tenant, class, begun.elapsed().as_secs_f64());
+    let (told, attempt) = Told::new(answer);
+    let body = match told.is_bare(is_head) {
+        true => ResponseBody::bytes(Bytes::new()),
+        false if told.is_small() => match collect(attempt).await {
+            Some(body) => ResponseBody::bytes(body),
+            None => {
+                let cut = Refusal { code: Code::AnswerCut, not_run: false };
+                return refuse(&node, cut, id);
+            }
+        },
+        false => {
+            let (sender, receiver) = mpsc::channel(DEPTH);
+            node.spawn(pump(attempt, sender, busy));
+            ResponseBody::boxed(Pieces::new(Bytes::new(), Some(receiver), told.length))
         }
-        Err(refusal) => refuse(&node, refusal, id),
-    }
+    };
+    told.respond(&node, id, body)
 }
 
 fn refuse(node: &Node, told: Refusal, id: u64) -> WebResponse {
@@ -220,32 +235,54 @@
     }
 }
 
-fn respond(
-    node: &Arc<Node>,
-    answer: Answer,
-    id: u64,
-    is_head: bool,
-    busy: Busy,
-) -> Response<ResponseBody> {
-    let Answer { status, fields, length, attempt } = answer;
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let is_bare = is_head || [204, 304].contains(&status.as_u16()) || length == Some(0);
-    let body = match is_bare {
-        true => ResponseBody::bytes(Bytes::new()),
-        false => {
-            let (sender, receiver) = mpsc::channel(DEPTH);
-            node.runtime.spawn(pump(attempt, sender, busy));
-            ResponseBody::boxed(Pieces::new(Bytes::new(), Some(receiver), length))
+/// The head of an answer as it is told to the caller.
+struct Told {
+    status: StatusCode,
+    fields: Vec<wire::Field>,
+    length: Option<u64>,
+}
+
+impl Told {
+    fn new(answer: Answer) -> (Told, Attempt) {
+        let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let told = Told { status, fields: answer.fields, length: answer.length };
+        (told, answer.attempt)
+    }
+
+    /// Whether the answer has no body.
+    fn is_bare(&self, is_head: bool) -> bool {
+        let bare = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+        is_head || bare.contains(&self.status) || self.length == Some(0)
+    }
+
+    /// Whether the body is held whole before the answer begins. One that is cut is then told as
+    /// such, with a code.
+    fn is_small(&self) -> bool {
+        self.length.is_some_and(|length| length <= PIECE_LIMIT as u64)
+    }
+
+    fn respond(self, node: &Node, id: u64, body: ResponseBody) -> WebResponse {
+        let mut response = Response::new(body);
+        *response.status_mut() = self.status;
+        headers::add_fields(response.headers_mut(), &self.fields);
+        insert(response.headers_mut(), headers::REQUEST_ID.as_str(), &format!("{id:016x}"));
+        if node.is_draining() {
+            insert(response.headers_mut(), "connection", "close");
+        }
+        response
+    }
+}
+
+/// Reads a small body. None where it was cut.
+async fn collect(mut attempt: Attempt) -> Option<Bytes> {
+    let mut body = BytesMut::new();
+    loop {
+        match attempt.events.recv().await? {
+            Event::Chunk(bytes) => body.extend_from_slice(&bytes),
+            Event::End => return Some(body.freeze()),
+            Event::Said(_) => return None,
         }
-    };
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    headers::add_fields(response.headers_mut(), &fields);
-    insert(response.headers_mut(), headers::REQUEST_ID.as_str(), &format!("{id:016x}"));
-    if node.is_draining() {
-        insert(response.headers_mut(), "connection", "close");
     }
-    response
 }
 
 /// Passes an answer's body on. One that is cut gets no end, so that the caller sees it is cut.
--- a/crates/bamboowheel/src/dispatch.rs
+++ b/crates/bamboowheel/src/dispatch.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use policy::{OnceState, Outcome, Stored};
+use policy::{Load, OnceState, Outcome, Stored};
 use tokio::sync::{mpsc, oneshot};
-use wire::{Call, Field};
+use wire::{Call, Field, Verdict};
 use world::Code;
 
 use crate::attempt::Event;
@@ -18,7 +18,7 @@
 use crate::headers;
 use crate::node::Node;
 use crate::once::STORED_LIMIT;
-use crate::pieces::{Cut, Piece, Pieces};
+use crate::pieces::{Cut, PIECE_LIMIT, Piece, Pieces};
 use crate::pool::Connection;
 use crate::suspicion;
 
@@ -29,6 +29,9 @@
 /// is kept. Also the longest transfer of a body, in microseconds.
 const KEYED_LIMIT_US: u64 = 3_600_000_000;
 
+/// Time after which an entry is told that its request runs, where the answer does not say so.
+const NOTICE: std::time::Duration = std::time::Duration::from_millis(20);
+
 /// How a dispatch failed.
 #[derive(Debug)]
 enum Failure {
@@ -54,7 +57,9 @@
     events: mpsc::Sender<Event>,
     mut admitted: Admitted,
 ) {
-    let _ = events.send(Event::Run(node.gate.load())).await;
+    if !call.whole {
+        tell_running(&node, &events).await;
+    }
     let address = admitted.target.address;
     match ask(&node, &call, body, &events, &admitted).await {
         Ok((response, connection)) => {
@@ -67,6 +72,11 @@
     }
 }
 
+async fn tell_running(node: &Node, events: &mpsc::Sender<Event>) {
+    let load = Some(node.gate.load());
+    let _ = events.send(Event::Said(Verdict::Run(load))).await;
+}
+
 /// Sends the request and waits for the answer's head.
 async fn ask(
     node: &Arc<Node>,
@@ -118,9 +128,16 @@
         true => admitted.deadline,
         false => node.now().after(KEYED_LIMIT_US),
     };
+    let mut silent = call.whole;
+    let notice = tokio::time::sleep(NOTICE);
+    tokio::pin!(notice);
     loop {
         tokio::select! {
             _ = events.closed(), if !is_keyed => return Failure::Unwanted,
+            _ = &mut notice, if silent => {
+                silent = false;
+                tell_running(node, events).await;
+            }
             whole = received(taken), if taken.is_some() => {
                 *taken = None;
                 if whole {
@@ -188,37 +205,93 @@
 ) -> bool {
     let (head, mut body) = response.into_parts();
     let fields = headers::end_to_end(&head.headers);
-    let status = head.status.as_u16();
     let length = body.size_hint().exact();
-    let load = node.gate.load();
-    let mut kept = Kept::new(call, status, &fields);
-    let _ = events.send(Event::Head { status, fields, length, load }).await;
-    let whole = loop {
+    let mut kept = Kept::new(call, head.status.as_u16(), &fields);
+    let head = |load| {
+        let status = head.status.as_u16();
+        Event::Said(Verdict::Head { request: call.request, status, fields, length, load })
+    };
+    let passed = if length.is_some_and(|length| length <= PIECE_LIMIT as u64) {
+        pass_small(node, &mut body, &mut kept, head, &events).await
+    } else {
+        let _ = events.send(head(Some(node.gate.load()))).await;
+        pass_large(call, &mut body, &mut kept, &events).await
+    };
+    let held = admitted.held.take();
+    match passed {
+        Passed::Whole => {
+            admitted.place.outcome = Outcome::Answered;
+            suspicion::answered(node, call);
+            held.map(|held| held.finish(kept.state()));
+            let _ = events.send(Event::End).await;
+        }
+        Passed::Cut => {
+            admitted.place.outcome = Outcome::Broken;
+            held.map(|held| held.finish(OnceState::Lost));
+            suspicion::broke(node, call).await;
+            let (code, load) = (Code::AnswerCut, Some(node.gate.load()));
+            let _ = events.send(Event::Said(Verdict::Failed { code, not_run: false, load })).await;
+        }
+        Passed::Unwanted => {}
+    }
+    passed == Passed::Whole
+}
+
+/// How the passing on of an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Passed {
+    /// The target's answer came whole.
+    Whole,
+    /// The target's answer was cut.
+    Cut,
+    /// Nobody wanted the rest of it.
+    Unwanted,
+}
+
+/// Holds a small answer whole before its head is told, so that it goes in one packet, and a cut one
+/// is told as a failure.
+async fn pass_small(
+    node: &Node,
+    body: &mut Incoming,
+    kept: &mut Kept,
+    head: impl FnOnce(Option<Load>) -> Event,
+    events: &mpsc::Sender<Event>,
+) -> Passed {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return Passed::Cut };
+        if let Ok(bytes) = frame.into_data() {
+            whole.extend_from_slice(&bytes);
+        }
+    }
+    kept.add(&whole);
+    let _ = events.send(head(Some(node.gate.load()))).await;
+    if !whole.is_empty() {
+        let _ = events.send(Event::Chunk(whole.freeze())).await;
+    }
+    Passed::Whole
+}
+
+async fn pass_large(
+    call: &Call,
+    body: &mut Incoming,
+    kept: &mut Kept,
+    events: &mpsc::Sender<Event>,
+) -> Passed {
+    loop {
         if events.is_closed() && call.key.is_none() {
-            return false;
+            return Passed::Unwanted;
         }
         match body.frame().await {
-            None => break true,
-            Some(Err(_)) => break false,
+            None => return Passed::Whole,
+            Some(Err(_)) => return Passed::Cut,
             Some(Ok(frame)) => {
                 let Ok(bytes) = frame.into_data() else { continue };
                 kept.add(&bytes);
                 let _ = events.send(Event::Chunk(bytes)).await;
             }
         }
-    };
-    let held = admitted.held.take();
-    if whole {
-        admitted.place.outcome = Outcome::Answered;
-        suspicion::answered(node, call);
-        held.map(|held| held.finish(kept.state()));
-        let _ = events.send(Event::End).await;
-    } else {
-        admitted.place.outcome = Outcome::Broken;
-        held.map(|held| held.finish(OnceState::Lost));
-        suspicion::broke(node, call).await;
     }
-    whole
 }
 
 /// Tells the owner that the request failed, and the table and the peers what they need to know.
@@ -257,8 +330,8 @@
     if matches!(failure, Failure::NotSent | Failure::Broken) {
         check_alive(node, address).await;
     }
-    let load = node.gate.load();
-    let _ = events.send(Event::Failed { code, not_run, load }).await;
+    let load = Some(node.gate.load());
+    let _ = events.send(Event::Said(Verdict::Failed { code, not_run, load })).await;
 }
 
 /// Takes the target for dead where it accepts no connection.
@@ -294,7 +367,7 @@
         Kept { stored: keep.then(stored) }
     }
 
-    fn add(&mut self, bytes: &Bytes) {
+    fn add(&mut self, bytes: &[u8]) {
         if let Some(stored) = &mut self.stored {
             stored.body.extend_from_slice(bytes);
         }
--- a/crates/bamboowheel/src/exchange.rs
+++ b/crates/bamboowheel/src/exchange.rs
@@ -6,7 +6,7 @@
 
 use policy::{Ask, End, Load, Step};
 use tokio::sync::{mpsc, oneshot};
-use wire::Call;
+use wire::{Call, Verdict};
 use world::{Code, Name};
 
 use crate::attempt::{self, Attempt, Event};
@@ -123,33 +123,32 @@
 
     fn handle(&mut self, at: usize, event: Option<Event>) -> Next {
         let target = self.attempts[at].target.clone();
-        let wait = Step::Wait(self.state.due());
-        match event {
-            None => self.ended(at, End::Lost, None),
-            Some(Event::Wait) => {
-                self.state.heard(&target);
-                Next::Step(wait)
-            }
-            Some(Event::Run(load) | Event::Stored(load)) => {
+        let Some(Event::Said(said)) = event else { return self.ended(at, End::Lost, None) };
+        self.state.heard(&target);
+        match said {
+            Verdict::Wait => Next::Step(Step::Wait(self.state.due())),
+            Verdict::Run(load) => {
                 self.running(at, load);
-                Next::Step(wait)
+                Next::Step(Step::Wait(self.state.due()))
+            }
+            Verdict::Refused { code, not_run, load } | Verdict::Failed { code, not_run, load } => {
+                self.ended(at, end(code, not_run), load)
             }
-            Some(
-                Event::Refused { code, not_run, load } | Event::Failed { code, not_run, load },
-            ) => self.ended(at, end(code, not_run), Some(load)),
-            Some(Event::Head { status, fields, length, load }) => {
-                self.head(at, status, fields, length, load)
+            Verdict::Head { status, fields, length, load, .. } => {
+                let attempt = self.attempts.swap_remove(at);
+                self.head(Answer { status, fields, length, attempt }, load)
             }
-            Some(Event::Chunk(_) | Event::End) => self.ended(at, End::Lost, None),
         }
     }
 
     /// The target is settled as far as the body goes: its rest may flow to this attempt alone.
-    fn running(&mut self, at: usize, load: Load) {
+    fn running(&mut self, at: usize, load: Option<Load>) {
         let attempt = &mut self.attempts[at];
-        self.state.heard(&attempt.target);
         let now = self.node.now();
-        lock(&self.node.choosing).entry.reported(now, &self.call.service, &attempt.target, load);
+        if let Some(load) = load {
+            let mut choosing = lock(&self.node.choosing);
+            choosing.entry.reported(now, &self.call.service, &attempt.target, load);
+        }
         let Some(body) = attempt.body.take() else { return };
         self.state.streamed(now);
         if let Some(feed) = self.feed.take() {
@@ -159,31 +158,22 @@
         }
     }
 
-    fn head(
-        &mut self,
-        at: usize,
-        status: u16,
-        fields: Vec<wire::Field>,
-        length: Option<u64>,
-        load: Load,
-    ) -> Next {
-        let now = self.node.now();
-        if is_failure(status) && self.failed.is_none() {
-            let attempt = self.attempts.swap_remove(at);
-            let target = attempt.target.clone();
-            self.failed = Some(Answer { status, fields, length, attempt });
-            return self.decided(&target, End::Failed(Code::AnswerCut), Some(load));
+    fn head(&mut self, answer: Answer, load: Option<Load>) -> Next {
+        let target = answer.attempt.target.clone();
+        if is_failure(answer.status) && self.failed.is_none() {
+            self.failed = Some(answer);
+            return self.decided(&target, End::Failed(Code::AnswerCut), load);
         }
-        let attempt = self.attempts.swap_remove(at);
+        let now = self.node.now();
         let mut choosing = lock(&self.node.choosing);
         let choosing = &mut *choosing;
-        self.state.answered(now, &mut choosing.entry, &attempt.target, Some(load));
+        self.state.answered(now, &mut choosing.entry, &target, load);
         let probe = choosing.entry.probe(now, &self.call.service, &mut choosing.rng);
         if let Some(target) = probe {
             let service = self.call.service.clone();
-            self.node.runtime.spawn(attempt::probe(self.node.clone(), service, target));
+            self.node.spawn(attempt::probe(self.node.clone(), service, target));
         }
-        Next::Answer(Answer { status, fields, length, attempt })
+        Next::Answer(answer)
     }
 
     fn ended(&mut self, at: usize, end: End, load: Option<Load>) -> Next {
--- a/crates/bamboowheel/src/gate.rs
+++ b/crates/bamboowheel/src/gate.rs
@@ -4,7 +4,7 @@
 
 use policy::{Action, Guard, Load, Offer, Outcome, Permit, Settings, Time};
 use tokio::sync::{mpsc, oneshot};
-use wire::Call;
+use wire::{Call, Verdict};
 use world::{Announcement, Code, Inventory, Name};
 
 use crate::attempt::Event;
@@ -216,6 +216,12 @@
     }
 }
 
+/// Builds a refusal with the load that stood against the request.
+pub fn refused(node: &Node, code: Code, not_run: bool) -> Event {
+    let load = Some(node.gate.load());
+    Event::Said(Verdict::Refused { code, not_run, load })
+}
+
 /// What a request needs to be dispatched.
 #[derive(Debug)]
 pub struct Admitted {
@@ -238,16 +244,13 @@
     deadline: Time,
     events: &mpsc::Sender<Event>,
 ) -> Result<Admitted, Event> {
-    let refuse = |code| {
-        let load = node.gate.load();
-        Event::Refused { code, not_run: true, load }
-    };
+    let refuse = |code| refused(node, code, true);
     let target = node.gate.target().filter(|target| target.service == call.service);
     let target = target.ok_or_else(|| refuse(Code::NoTarget))?;
     let watched = watch(node, call).map_err(refuse)?;
     let held = match &call.key {
         Some(key) => {
-            let _ = events.send(Event::Wait).await;
+            let _ = events.send(Event::Said(Verdict::Wait)).await;
             Some(once::win(node, call, key, deadline, events).await?)
         }
         None => None,
@@ -273,7 +276,7 @@
     let decision = match place.decision.try_recv() {
         Ok(decision) => decision,
         Err(_) => {
-            let _ = events.send(Event::Wait).await;
+            let _ = events.send(Event::Said(Verdict::Wait)).await;
             (&mut place.decision).await.unwrap_or(Err(Code::Overload))
         }
     };
--- a/crates/bamboowheel/src/links.rs
+++ b/crates/bamboowheel/src/links.rs
@@ -1,11 +1,14 @@
 //! Links that this node opens to others: one QUIC connection to a peer, one stream an exchange.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use policy::Message;
-use quinn::{ClientConfig, Connection, Endpoint, RecvStream, SendStream, VarInt};
+use quinn::{
+    ClientConfig, Connection, Endpoint, EndpointConfig, RecvStream, SendStream, TokioRuntime,
+    VarInt,
+};
 use snafu::{OptionExt, Snafu};
 use wire::{Open, Reply};
 
@@ -53,9 +56,12 @@
 }
 
 impl Links {
-    /// Binds the address at which other nodes reach this one.
-    pub fn bind(address: SocketAddr, identity: Identity) -> std::io::Result<Links> {
-        let endpoint = Endpoint::server(identity.server, address)?;
+    /// Opens the links on a bound socket, at which other nodes reach this one. To be called from
+    /// the runtime that drives them.
+    pub fn open_on(socket: UdpSocket, identity: Identity) -> std::io::Result<Links> {
+        let config = EndpointConfig::default();
+        let runtime = Arc::new(TokioRuntime);
+        let endpoint = Endpoint::new(config, Some(identity.server), socket, runtime)?;
         Ok(Links { endpoint, client: identity.client, peers: Mutex::default() })
     }
 
@@ -103,8 +109,7 @@
     /// Sends a membership message. Lost messages are the business of the membership.
     pub fn tell(&self, node: &Arc<Node>, address: SocketAddr, message: Message) {
         let node = node.clone();
-        let runtime = node.runtime.clone();
-        runtime.spawn(async move {
+        node.clone().spawn(async move {
             let Ok(frame) = wire::encode(&Open::Member(Box::new(message))) else { return };
             let Ok(link) = node.links.connect(address).await else { return };
             node.metrics.control(frame.len());
--- a/crates/bamboowheel/src/node.rs
+++ b/crates/bamboowheel/src/node.rs
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 use tokio::runtime::Handle;
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 use world::{Code, Config, Inventory, Name};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -40,8 +41,9 @@
     pub started: u64,
     /// Behind every decision.
     pub clock: Clock,
-    /// The runtime that drives links, targets and the store.
-    pub runtime: Handle,
+    /// The runtime that drives links, targets and the store: that of the first thread of callers,
+    /// so that a call crosses no threads on its way.
+    runtime: Handle,
     /// The routing state.
     pub choosing: Mutex<Choosing>,
     /// The guard and those who wait at it.
@@ -128,6 +130,14 @@
         self.clock.now()
     }
 
+    /// Starts a task.
+    pub fn spawn<F>(&self, task: F) -> JoinHandle<F::Output>
+    where
+        F: Future<Output: Send> + Send + 'static,
+    {
+        self.runtime.spawn(task)
+    }
+
     /// Returns the inventory in force.
     pub fn inventory(&self) -> Arc<Inventory> {
         self.inventory.read().unwrap_or_else(PoisonError::into_inner).clone()
@@ -247,7 +257,7 @@
             match action {
                 MemberAction::Send(_, address, message) => self.links.tell(self, address, message),
                 MemberAction::Sync(_, address) => {
-                    self.runtime.spawn(crate::gossip::sync(self.clone(), address));
+                    self.spawn(crate::gossip::sync(self.clone(), address));
                 }
                 MemberAction::Event(code, name) => self.member_event(code, name),
                 MemberAction::Changed => changed = true,
--- a/crates/bamboowheel/src/once.rs
+++ b/crates/bamboowheel/src/once.rs
@@ -6,11 +6,12 @@
 use platform::{Condition, Error, Row, Table, Write};
 use policy::{Once, OnceRecord, OnceState, OnceStep, Stored, TableReply, Time};
 use tokio::sync::mpsc;
-use wire::{Call, Field};
+use wire::{Call, Field, Verdict};
 use world::{Code, Key};
 
 use crate::attempt::Event;
 use crate::clock::wall_ms;
+use crate::gate::refused;
 use crate::node::{Node, lock};
 
 /// How long a record is kept, in seconds.
@@ -46,10 +47,6 @@
         Once::new(node.unique(), node.settings.name.clone(), node.started, call.print.0);
     let key = Key::once(&call.service, key);
     let mut held = Held { node: node.clone(), key, once };
-    let refused = |code, not_run| {
-        let load = node.gate.load();
-        Event::Refused { code, not_run, load }
-    };
     let limit = tokio::time::sleep_until(node.clock.instant(deadline));
     let end = tokio::select! {
         end = held.drive(step) => Some(end),
@@ -62,25 +59,25 @@
             answer(node, call, stored, events).await;
             Err(Event::End)
         }
-        Some(OnceStep::Refuse(code, not_run)) => Err(refused(code, not_run)),
+        Some(OnceStep::Refuse(code, not_run)) => Err(refused(node, code, not_run)),
         _ => {
             held.abandon();
-            Err(refused(Code::StoreDown, true))
+            Err(refused(node, Code::StoreDown, true))
         }
     }
 }
 
 /// Gives the answer of an earlier run.
 async fn answer(node: &Node, call: &Call, stored: Stored, events: &mpsc::Sender<Event>) {
-    let load = node.gate.load();
     let to_field = |(name, value)| Field { name, value };
     let mut fields: Vec<Field> = stored.headers.into_iter().map(to_field).collect();
     let mark = crate::headers::STORED.as_str().to_owned();
     fields.push(Field { name: mark, value: b"true".to_vec() });
     let (status, length) = (stored.status, Some(stored.body.len() as u64));
     tracing::debug!("guard: request {:016x} has the answer of an earlier run", call.request);
-    let _ = events.send(Event::Stored(load)).await;
-    let _ = events.send(Event::Head { status, fields, length, load }).await;
+    let (request, load) = (call.request, Some(node.gate.load()));
+    let head = Verdict::Head { request, status, fields, length, load };
+    let _ = events.send(Event::Said(head)).await;
     if !stored.body.is_empty() {
         let _ = events.send(Event::Chunk(stored.body.into())).await;
     }
@@ -89,8 +86,7 @@
 impl Held {
     /// Notes how the run ended. The write is repeated until the store takes it.
     pub fn finish(self, state: OnceState) {
-        let runtime = self.node.runtime.clone();
-        runtime.spawn(async move {
+        self.node.clone().spawn(async move {
             let _busy = self.node.busy();
             let record = self.once.record(state);
             let mut wait = FIRST_WAIT;
@@ -110,8 +106,7 @@
 
     /// Gives up and voids the record in the background, for as long as it takes.
     fn abandon(mut self) -> tokio::task::JoinHandle<()> {
-        let runtime = self.node.runtime.clone();
-        runtime.spawn(async move {
+        self.node.clone().spawn(async move {
             let step = self.once.give_up();
             self.drive(step).await;
         })
--- a/crates/bamboowheel/src/peers.rs
+++ b/crates/bamboowheel/src/peers.rs
@@ -5,7 +5,7 @@
 use policy::Message;
 use quinn::{Connection, Incoming, RecvStream, SendStream, VarInt};
 use tokio::sync::mpsc;
-use wire::{Answer, Call, Open, Reply, Suspect, Verdict};
+use wire::{Call, Open, Reply, Suspect, Verdict};
 use world::{Config, Name};
 
 use crate::attempt::Event;
@@ -129,7 +129,6 @@
 /// Serves a call that came over a link.
 async fn serve(node: Arc<Node>, call: Call, mut send: SendStream, receive: RecvStream) {
     let _busy = node.busy();
-    let request = call.request;
     let (events, mut from_gate) = mpsc::channel(DEPTH);
     let (pieces, body) = mpsc::channel(DEPTH);
     if !call.whole {
@@ -138,7 +137,7 @@
     let gate = tokio::spawn(gate::serve(node, call, body, events));
     let stopped = stopped(&send);
     let passed = tokio::select! {
-        passed = pass_on(request, &mut from_gate, &mut send) => passed,
+        passed = pass_on(&mut from_gate, &mut send) => passed,
         _ = stopped => false,
     };
     if !passed {
@@ -178,25 +177,15 @@
 }
 
 /// Passes the guard's events on to the peer. Returns whether they came to a proper end.
-async fn pass_on(request: u64, events: &mut mpsc::Receiver<Event>, send: &mut SendStream) -> bool {
+async fn pass_on(events: &mut mpsc::Receiver<Event>, send: &mut SendStream) -> bool {
     while let Some(event) = events.recv().await {
-        let is_last = matches!(event, Event::Refused { .. } | Event::Failed { .. } | Event::End);
-        let written = match event {
-            Event::Wait => wire::write(send, &Verdict::Wait).await.is_ok(),
-            Event::Run(load) => wire::write(send, &Verdict::Run(load)).await.is_ok(),
-            Event::Stored(load) => wire::write(send, &Verdict::Stored(load)).await.is_ok(),
-            Event::Refused { code, not_run, load } => {
-                wire::write(send, &Verdict::Refuse { code, not_run, load }).await.is_ok()
+        let (written, is_last) = match event {
+            Event::Said(said) => {
+                let is_last = matches!(said, Verdict::Refused { .. } | Verdict::Failed { .. });
+                (wire::write(send, &said).await.is_ok(), is_last)
             }
-            Event::Failed { code, not_run, load } => {
-                wire::write(send, &Answer::Failed { code, not_run, load }).await.is_ok()
-            }
-            Event::Head { status, fields, length, load } => {
-                let head = Answer::Head { request, status, fields, length, load };
-                wire::write(send, &head).await.is_ok()
-            }
-            Event::Chunk(bytes) => send.write_chunk(bytes).await.is_ok(),
-            Event::End => true,
+            Event::Chunk(bytes) => (send.write_chunk(bytes).await.is_ok(), false),
+            Event::End => (true, true),
         };
         if !written {
             return false;
--- a/crates/bamboowheel/src/run.rs
+++ b/crates/bamboowheel/src/run.rs
@@ -1,20 +1,20 @@
 //! Starts the node, and drains it.
 
-use std::sync::Arc;
+use std::net::UdpSocket;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use gumdrop::Options;
 use tokio::runtime::{Builder, Handle};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::oneshot;
 use world::Code;
 
 use crate::links::Links;
 use crate::node::{Node, lock};
-use crate::settings::{Args, Settings, USAGE};
+use crate::settings::{Args, Settings, Trust, USAGE};
 use crate::{admin, callers, gate, gossip, logs, peers, server, spread, tls};
 
-/// Threads that drive links, targets and the store.
-const THREADS: usize = 2;
 /// Time in which peers learn of a leaving node before it refuses callers.
 const NOTICE: Duration = Duration::from_millis(300);
 
@@ -42,7 +42,7 @@
         }
     };
     logs::start(settings.log_form, settings.log_level);
-    let runtime = match Builder::new_multi_thread().worker_threads(THREADS).enable_all().build() {
+    let runtime = match Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return usage_error(&error.to_string()),
     };
@@ -55,7 +55,7 @@
 }
 
 async fn run(settings: Settings) -> i32 {
-    let started = match Started::start(settings) {
+    let started = match Started::start(settings).await {
         Ok(started) => started,
         Err((code, detail)) => {
             tracing::error!("node: {code}: {detail}");
@@ -91,30 +91,56 @@
 }
 
 impl Started {
-    fn start(settings: Settings) -> Result<Started, (Code, String)> {
+    async fn start(settings: Settings) -> Result<Started, (Code, String)> {
         let cannot_bind = |error: std::io::Error| (Code::CannotBind, error.to_string());
         let identity =
             tls::open(&settings.trust).map_err(|error| (Code::BadSetting, error.to_string()))?;
-        if settings.trust == crate::settings::Trust::Development {
+        if settings.trust == Trust::Development {
             tracing::warn!("links: development mode, any node may join");
         }
         let caller_side = server::bind(settings.listen).map_err(cannot_bind)?;
         let admin_side = server::bind(settings.admin).map_err(cannot_bind)?;
-        let links = Links::bind(settings.link, identity).map_err(cannot_bind)?;
-        let threads = settings.threads;
+        let socket = UdpSocket::bind(settings.link).map_err(cannot_bind)?;
+        let (threads, name) = (settings.threads, settings.name.clone());
         let (caller_address, admin_address) = (caller_side.address, admin_side.address);
-        let node = Arc::new(Node::new(settings, links, Handle::current()));
-        let callers = server::spawn(caller_side, threads, node.clone(), callers::serve);
+        let cell = server::Cell::default();
+        let (opened, open) = oneshot::channel();
+        let parts = Mutex::new(Some((settings, socket, identity, opened)));
+        let shared = cell.clone();
+        let begin = move || {
+            let parts = lock(&parts).take();
+            let cell = shared.clone();
+            async move {
+                if let Some((settings, socket, identity, opened)) = parts {
+                    let _ = opened.send(open_node(&cell, settings, socket, identity));
+                }
+            }
+        };
+        let callers = server::spawn(caller_side, threads, cell.clone(), callers::serve, begin);
         let callers = callers.map_err(cannot_bind)?;
-        let admin = server::spawn(admin_side, 1, node.clone(), admin::serve);
+        let node = open.await.unwrap_or_else(|_| Err(std::io::Error::other("no thread started")));
+        let node = node.map_err(cannot_bind)?;
+        let admin = server::spawn(admin_side, 1, cell, admin::serve, async || ());
         let admin = admin.map_err(cannot_bind)?;
-        let name = &node.settings.name;
         tracing::info!("node: {name} serves callers at {caller_address}, admin at {admin_address}");
-        spawn_tasks(&node);
         Ok(Started { node, callers, admin })
     }
 }
 
+/// Builds the node on the runtime of the calling thread, and starts its tasks there.
+fn open_node(
+    cell: &server::Cell,
+    settings: Settings,
+    socket: UdpSocket,
+    identity: tls::Identity,
+) -> std::io::Result<Arc<Node>> {
+    let links = Links::open_on(socket, identity)?;
+    let node = Arc::new(Node::new(settings, links, Handle::current()));
+    spawn_tasks(&node);
+    let _ = cell.set(node.clone());
+    Ok(node)
+}
+
 fn spawn_tasks(node: &Arc<Node>) {
     tokio::spawn(peers::accept(node.clone()));
     tokio::spawn(gate::tick(node.clone()));
--- a/crates/bamboowheel/src/server.rs
+++ b/crates/bamboowheel/src/server.rs
@@ -1,9 +1,8 @@
 //! Binds HTTP servers.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use tokio::net::TcpSocket;
 use xitca_web::HttpServer;
@@ -61,22 +60,30 @@
     Ok(Bound { listener, address })
 }
 
-/// Serves requests with `handle` from now on.
-pub fn spawn<F, Fut>(
+/// The node, once the first thread of callers has started it.
+pub type Cell = Arc<OnceLock<Arc<Node>>>;
+
+/// Serves requests with `handle` from now on. `start` is run on each thread before it serves.
+pub fn spawn<H, Fut, S, Starting>(
     bound: Bound,
     threads: usize,
-    node: Arc<Node>,
-    handle: F,
+    cell: Cell,
+    handle: H,
+    start: S,
 ) -> std::io::Result<Running>
 where
-    F: Fn(Arc<Node>, WebRequest) -> Fut + Clone + Send + Sync + 'static,
+    H: Fn(Arc<Node>, WebRequest) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = WebResponse> + 'static,
+    S: Fn() -> Starting + Send + Sync + 'static,
+    Starting: Future<Output = ()> + Send + 'static,
 {
-    let service = fn_service(async move |request: WebRequest| {
-        Ok::<_, Infallible>(handle(node.clone(), request).await)
+    let service = fn_service(async move |request: WebRequest| match cell.get() {
+        Some(node) => Ok(handle(node.clone(), request).await),
+        None => Err(NotStarted),
     });
     let mut server = HttpServer::serve(service)
         .worker_threads(threads)
+        .on_worker_start(start)
         .disable_signal()
         .max_read_buf_size::<HEAD_LIMIT>()
         .max_write_buf_size::<WRITE_LIMIT>()
@@ -93,3 +100,7 @@
     });
     Ok(Running { handle })
 }
+
+/// A request came before the node had started.
+#[derive(Debug)]
+struct NotStarted;
--- a/crates/bamboowheel/src/spread.rs
+++ b/crates/bamboowheel/src/spread.rs
@@ -41,7 +41,7 @@
 /// Notes the version that a peer showed, and fetches it where it is newer.
 pub fn saw(node: &Arc<Node>, version: u64, address: SocketAddr) {
     if lock(&node.versions).saw(version) {
-        node.runtime.spawn(fetch(node.clone(), address));
+        node.spawn(fetch(node.clone(), address));
     }
 }
 
--- a/crates/bamboowheel/src/suspicion.rs
+++ b/crates/bamboowheel/src/suspicion.rs
@@ -34,8 +34,7 @@
         return;
     }
     let (node, call) = (node.clone(), call.clone());
-    let runtime = node.runtime.clone();
-    runtime.spawn(async move { tell(&node, &call, Suspect::Cleared(call.print)).await });
+    node.clone().spawn(async move { tell(&node, &call, Suspect::Cleared(call.print)).await });
 }
 
 async fn tell(node: &Arc<Node>, call: &Call, news: Suspect) {
--- /dev/null
+++ b/crates/testkit/examples/path.rs
@@ -0,0 +1,78 @@
+//! Measures what the path adds to one call: direct to the target, through the node beside it, and
+//! through another node and the link between: see `path --help`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Instant;
+
+use bytes::Bytes;
+use gumdrop::Options;
+use hdrhistogram::Histogram;
+use http::Method;
+use testkit::client::{Client, request};
+use testkit::mesh::{Mesh, ServiceSize, Tenant};
+
+const fn service(name: &'static str) -> ServiceSize {
+    ServiceSize { name, targets: 1, work_us: 0 }
+}
+
+const TENANT: Tenant = Tenant {
+    name: "path",
+    data_centres: &["here"],
+    services: [service("read"), service("book"), service("upload")],
+    slots: 12,
+};
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help", no_short)]
+    help: bool,
+    #[options(help = "calls of each kind", no_short, default = "3000")]
+    calls: u32,
+    #[options(help = "pause between two calls in microseconds", no_short, default = "0")]
+    pause_us: u64,
+    #[options(help = "second octet of the addresses 127.N.x.y", no_short, default = "78")]
+    net: u8,
+    #[options(help = "folder of the programs", no_short, default = "target/release")]
+    binaries: PathBuf,
+    #[options(help = "folder of logs and notes", no_short, default = "run")]
+    folder: PathBuf,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<(), testkit::client::Error> {
+    let args = Args::parse_args_default_or_exit();
+    let folder = args.folder.join("path");
+    let mesh = Mesh::start(TENANT, args.net, 1, &args.binaries, &folder).await?;
+    let (direct, local, remote) =
+        (mesh.vms[0].target(), mesh.vms[0].callers(), mesh.vms[1].callers());
+    let client = Client::default();
+    for _ in 0..200 {
+        call(&client, local).await?;
+        call(&client, remote).await?;
+    }
+    let mut rows = [("direct", direct), ("local", local), ("remote", remote)].map(|(name, to)| {
+        let histogram = Histogram::<u64>::new(3).expect("three digits are in range");
+        (name, to, histogram)
+    });
+    for _ in 0..args.calls {
+        for (_, to, histogram) in &mut rows {
+            tokio::time::sleep(std::time::Duration::from_micros(args.pause_us)).await;
+            histogram.saturating_record(call(&client, *to).await?);
+        }
+    }
+    println!("path     p50us  p90us  p99us p999us");
+    for (name, _, histogram) in &rows {
+        let at = |q| histogram.value_at_quantile(q);
+        println!("{name:7} {:6} {:6} {:6} {:6}", at(0.5), at(0.9), at(0.99), at(0.999));
+    }
+    Ok(())
+}
+
+async fn call(client: &Client, to: SocketAddr) -> Result<u64, testkit::client::Error> {
+    let request = request(Method::GET, "/read/item", &[("x-work-us", "0")], Bytes::new());
+    let begun = Instant::now();
+    let answer = client.send(to, request).await?;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    Ok(begun.elapsed().as_micros() as u64)
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,4 +9,4 @@
 mod message;
 
 pub use codec::{Error, FRAME_LIMIT, VERSION, decode, encode, read, write};
-pub use message::{Answer, Call, Field, Open, Reply, Suspect, Verdict};
+pub use message::{Call, Field, Open, Reply, Suspect, Verdict};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -16,7 +16,7 @@
 /// The first frame of an exchange.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Open {
-    /// Run a request. Answered by [`Verdict`] and, where it is dispatched, by [`Answer`].
+    /// Run a request. Answered by [`Verdict`]s.
     Call(Box<Call>),
     /// Report the load of a service's target. Answered by [`Reply::Load`].
     Probe,
@@ -77,30 +77,33 @@
     pub whole: bool,
 }
 
-/// What a guard says to a request.
+/// What a guard says to a request: waits, then a refusal, or a run and then a failure or a head. A
+/// request whose body is whole may be told of its answer alone.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Verdict {
-    /// It waits; another verdict follows.
+    /// It waits.
     Wait,
     /// It is dispatched, and the rest of its body may come.
-    Run(Load),
-    /// It is refused.
-    Refuse {
+    Run(Option<Load>),
+    /// It was not dispatched.
+    Refused {
         /// Why.
         code: Code,
-        /// Whether it was certainly not run, nor any other request with its key.
+        /// Whether neither it nor any other request with its key ran.
         not_run: bool,
         /// The load that stood against it.
-        load: Load,
+        load: Option<Load>,
     },
-    /// The answer of an earlier run follows.
-    Stored(Load),
-}
-
-/// The head of an answer. The body follows as plain bytes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Answer {
-    /// The target answered.
+    /// It was dispatched and not answered.
+    Failed {
+        /// Why.
+        code: Code,
+        /// Whether it is certain that it did not run.
+        not_run: bool,
+        /// The load after that.
+        load: Option<Load>,
+    },
+    /// The answer began. Its body follows as plain bytes.
     Head {
         /// The caller's request, which must be the one that was asked.
         request: u64,
@@ -111,16 +114,7 @@
         /// The body's length, where the target gave it.
         length: Option<u64>,
         /// The load after the answer began.
-        load: Load,
-    },
-    /// The target was dispatched to and did not answer.
-    Failed {
-        /// Why.
-        code: Code,
-        /// Whether the target said, or it is otherwise certain, that the request did not run.
-        not_run: bool,
-        /// The load after that.
-        load: Load,
+        load: Option<Load>,
     },
 }
 
