The guard learns from answers to requests with short bodies

Cause: a reader that knows a body's length stops at its last byte and never asks for the end, so the signal that the target has the whole request never came and the limit stayed at what a cold target bears. Found by watching /status during a mesh run: limit 2, service time 0 on every node. Ruled out: false cuts (limit_cuts was 0).

--- a/crates/bamboowheel/src/pieces.rs
+++ b/crates/bamboowheel/src/pieces.rs
@@ -44,7 +44,10 @@
     rest: Option<mpsc::Receiver<Piece>>,
     /// The whole length, where it is known.
     length: Option<u64>,
-    /// Told when the whole body was taken.
+    /// Bytes handed out.
+    given: u64,
+    /// Told when the whole body was taken: at its last byte where its length is known, since a
+    /// reader that knows the length does not ask for the end.
     taken: Option<oneshot::Sender<()>>,
 }
 
@@ -52,26 +55,28 @@
     /// Opens a body.
     pub fn new(prefix: Bytes, rest: Option<mpsc::Receiver<Piece>>, length: Option<u64>) -> Pieces {
         let length = if rest.is_none() { Some(prefix.len() as u64) } else { length };
-        Pieces { prefix, rest, length, taken: None }
+        Pieces { prefix, rest, length, given: 0, taken: None }
     }
 
     /// Returns the body and a signal that it was taken whole.
     pub fn with_signal(mut self) -> (Pieces, oneshot::Receiver<()>) {
         let (sender, receiver) = oneshot::channel();
         self.taken = Some(sender);
+        self.note_taken();
         (self, receiver)
     }
 
     fn poll_piece(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
         if !self.prefix.is_empty() {
-            return Poll::Ready(Some(Ok(std::mem::take(&mut self.prefix))));
+            let prefix = std::mem::take(&mut self.prefix);
+            return Poll::Ready(Some(Ok(self.hand_out(prefix))));
         }
         let piece = match &mut self.rest {
             Some(rest) => ready!(rest.poll_recv(context)),
             None => Some(Piece::End),
         };
         Poll::Ready(match piece {
-            Some(Piece::Data(bytes)) => Some(Ok(bytes)),
+            Some(Piece::Data(bytes)) => Some(Ok(self.hand_out(bytes))),
             Some(Piece::End) => {
                 self.rest = None;
                 self.taken.take().map(|taken| taken.send(()));
@@ -82,6 +87,20 @@
     }
 }
 
+impl Pieces {
+    fn hand_out(&mut self, bytes: Bytes) -> Bytes {
+        self.given += bytes.len() as u64;
+        self.note_taken();
+        bytes
+    }
+
+    fn note_taken(&mut self) {
+        if self.length == Some(self.given) {
+            self.taken.take().map(|taken| taken.send(()));
+        }
+    }
+}
+
 impl hyper::body::Body for Pieces {
     type Data = Bytes;
     type Error = Cut;
