--- a/crates/bamboowheel/src/admin.rs
+++ b/crates/bamboowheel/src/admin.rs
@@ -70,7 +70,7 @@
 
 fn metrics(node: &Node) -> WebResponse {
     let load = node.gate.load();
-    node.metrics.running.set(load.running.into());
+    node.metrics.pending.set(load.pending.into());
     node.metrics.limit.set(load.limit.into());
     text(StatusCode::OK, &node.metrics.text())
 }
@@ -91,7 +91,12 @@
         "version": version,
         "seen": seen,
         "target": node.gate.target(),
-        "load": load,
+        "load": {
+            "phase": load.phase,
+            "limit": load.limit,
+            "pending": load.pending,
+            "service_us": load.service_us().round(),
+        },
         "limit_cuts": cuts,
         "exchanges": node.exchanges(),
         "link_bytes_sent": node.links.bytes_sent(),
--- a/crates/bamboowheel/src/dispatch.rs
+++ b/crates/bamboowheel/src/dispatch.rs
@@ -73,7 +73,7 @@
 }
 
 async fn tell_running(node: &Node, events: &mpsc::Sender<Event>) {
-    let load = Some(node.gate.load());
+    let load = node.gate.report(node.now());
     let _ = events.send(Event::Said(Verdict::Run(load))).await;
 }
 
@@ -131,9 +131,14 @@
     let mut silent = call.whole;
     let notice = tokio::time::sleep(NOTICE);
     tokio::pin!(notice);
+    let mut warned = false;
     loop {
         tokio::select! {
             _ = events.closed(), if !is_keyed => return Failure::Unwanted,
+            _ = admitted.place.slowed(), if !warned => {
+                warned = true;
+                let _ = events.send(Event::Said(Verdict::Slow)).await;
+            }
             _ = &mut notice, if silent => {
                 silent = false;
                 tell_running(node, events).await;
@@ -214,7 +219,7 @@
     let passed = if length.is_some_and(|length| length <= PIECE_LIMIT as u64) {
         pass_small(node, &mut body, &mut kept, head, &events).await
     } else {
-        let _ = events.send(head(Some(node.gate.load()))).await;
+        let _ = events.send(head(node.gate.report(node.now()))).await;
         pass_large(call, &mut body, &mut kept, &events).await
     };
     let held = admitted.held.take();
@@ -229,7 +234,7 @@
             admitted.place.outcome = Outcome::Broken;
             held.map(|held| held.finish(OnceState::Lost));
             suspicion::broke(node, call).await;
-            let (code, load) = (Code::AnswerCut, Some(node.gate.load()));
+            let (code, load) = (Code::AnswerCut, node.gate.report(node.now()));
             let _ = events.send(Event::Said(Verdict::Failed { code, not_run: false, load })).await;
         }
         Passed::Unwanted => {}
@@ -265,7 +270,7 @@
         }
     }
     kept.add(&whole);
-    let _ = events.send(head(Some(node.gate.load()))).await;
+    let _ = events.send(head(node.gate.report(node.now()))).await;
     if !whole.is_empty() {
         let _ = events.send(Event::Chunk(whole.freeze())).await;
     }
@@ -330,7 +335,7 @@
     if matches!(failure, Failure::NotSent | Failure::Broken) {
         check_alive(node, address).await;
     }
-    let load = Some(node.gate.load());
+    let load = node.gate.report(node.now());
     let _ = events.send(Event::Said(Verdict::Failed { code, not_run, load })).await;
 }
 
@@ -340,7 +345,7 @@
         Ok(connection) => node.pool.give(address, connection),
         Err(error) => {
             tracing::warn!("guard: the target at {address} accepts no connection: {error}");
-            node.gate.died(node.now());
+            node.gate.died();
         }
     }
 }
--- a/crates/bamboowheel/src/exchange.rs
+++ b/crates/bamboowheel/src/exchange.rs
@@ -121,12 +121,19 @@
         self.state.timer(self.node.now(), &mut choosing.entry, &mut choosing.rng)
     }
 
+    fn slowed(&mut self) -> Step {
+        let mut choosing = lock(&self.node.choosing);
+        let choosing = &mut *choosing;
+        self.state.slowed(self.node.now(), &mut choosing.entry, &mut choosing.rng)
+    }
+
     fn handle(&mut self, at: usize, event: Option<Event>) -> Next {
         let target = self.attempts[at].target.clone();
         let Some(Event::Said(said)) = event else { return self.ended(at, End::Lost, None) };
         self.state.heard(&target);
         match said {
             Verdict::Wait => Next::Step(Step::Wait(self.state.due())),
+            Verdict::Slow => Next::Step(self.slowed()),
             Verdict::Run(load) => {
                 self.running(at, load);
                 Next::Step(Step::Wait(self.state.due()))
--- a/crates/bamboowheel/src/gate.rs
+++ b/crates/bamboowheel/src/gate.rs
@@ -1,9 +1,10 @@
 //! The guard of this node's target, and the requests that wait for its decisions.
 
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use policy::{Action, Guard, Load, Offer, Outcome, Permit, Settings, Time};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use wire::{Call, Verdict};
 use world::{Announcement, Code, Inventory, Name};
 
@@ -16,13 +17,24 @@
 /// What is taken of a cold target before the rules are known.
 const UNKNOWN: Settings = Settings { cold_slots: 1, warm_answers: 8 };
 
-type Waiter = (u64, oneshot::Sender<Result<(), Code>>);
+/// Time after which an entry is told that its request waits.
+const NOTICE: Duration = Duration::from_millis(40);
+
+/// Where the owner of a request hears of it.
+#[derive(Debug)]
+struct Owner {
+    id: u64,
+    /// Told once whether it runs.
+    decision: Option<oneshot::Sender<Result<(), Code>>>,
+    /// Told when the target slows down.
+    slow: Arc<Notify>,
+}
 
 #[derive(Debug)]
 struct State {
     guard: Guard,
-    /// Those who wait for a decision, sorted by id.
-    waiters: Vec<Waiter>,
+    /// Owners of requests that wait or run, sorted by id.
+    owners: Vec<Owner>,
     next: u64,
 }
 
@@ -36,7 +48,7 @@
     /// Opens the gate of a node without a target.
     pub fn new(now: Time) -> Gate {
         let guard = Guard::new(now, UNKNOWN);
-        Gate { state: Mutex::new(State { guard, waiters: Vec::new(), next: 0 }) }
+        Gate { state: Mutex::new(State { guard, owners: Vec::new(), next: 0 }) }
     }
 
     /// Takes over the rules for the target's service and data centre.
@@ -65,13 +77,13 @@
     }
 
     /// Marks the target as dead.
-    pub fn died(&self, now: Time) {
-        self.with(|guard| ((), guard.died(now)));
+    pub fn died(&self) {
+        self.with(|guard| ((), guard.died()));
     }
 
     /// Begins to drain.
-    pub fn drain(&self, now: Time) {
-        self.with(|guard| ((), guard.drain(now)));
+    pub fn drain(&self) {
+        self.with(|guard| ((), guard.drain()));
     }
 
     /// Does what is due by time alone. Returns whether the target is up.
@@ -82,7 +94,12 @@
         })
     }
 
-    /// Returns the load report for the next frame.
+    /// Returns the load report for the next frame, where it is worth its bytes.
+    pub fn report(&self, now: Time) -> Option<Load> {
+        self.with(|guard| (guard.report(now), Vec::new()))
+    }
+
+    /// Returns the load report, whatever it costs.
     pub fn load(&self) -> Load {
         self.with(|guard| (guard.load(), Vec::new()))
     }
@@ -126,25 +143,30 @@
         state.next += 1;
         let id = state.next;
         let (sender, decision) = oneshot::channel();
-        state.waiters.push((id, sender));
+        let slow = Arc::new(Notify::new());
+        state.owners.push(Owner { id, decision: Some(sender), slow: slow.clone() });
         let offer = Offer { id, class: call.class, deadline, spare: call.spare };
         let actions = state.guard.offer(node.now(), offer);
         state.act(actions);
-        Place { node: node.clone(), id, outcome: Outcome::Cancelled, decision }
+        Place { node: node.clone(), id, outcome: Outcome::Cancelled, decision, slow }
     }
 }
 
 impl State {
     fn act(&mut self, actions: Vec<Action>) {
         for action in actions {
-            let (id, decision) = match action {
-                Action::Run(id) => (id, Ok(())),
-                Action::Refuse(id, code) => (id, Err(code)),
+            let (Action::Run(id) | Action::Refuse(id, _) | Action::Slow(id)) = action;
+            let at = self.owners.binary_search_by_key(&id, |owner| owner.id);
+            let Some(owner) = at.ok().map(|at| &mut self.owners[at]) else { continue };
+            let decision = match action {
+                Action::Run(_) => Ok(()),
+                Action::Refuse(_, code) => Err(code),
+                Action::Slow(_) => {
+                    owner.slow.notify_one();
+                    continue;
+                }
             };
-            if let Ok(at) = self.waiters.binary_search_by_key(&id, |(id, _)| *id) {
-                let (_, waiter) = self.waiters.remove(at);
-                let _ = waiter.send(decision);
-            }
+            owner.decision.take().map(|sender| sender.send(decision));
         }
     }
 }
@@ -157,6 +179,7 @@
     /// How the request ends, should the place be dropped now.
     pub outcome: Outcome,
     decision: oneshot::Receiver<Result<(), Code>>,
+    slow: Arc<Notify>,
 }
 
 impl Place {
@@ -165,6 +188,11 @@
         self.node.gate.received(self.node.now(), self.id);
     }
 
+    /// Waits until the target slows down.
+    pub async fn slowed(&self) {
+        self.slow.notified().await;
+    }
+
     /// Notes that the target began to answer.
     pub fn headed(&self, success: bool) {
         self.node.gate.headed(self.node.now(), self.id, success);
@@ -175,8 +203,8 @@
     fn drop(&mut self) {
         let now = self.node.now();
         let mut state = lock(&self.node.gate.state);
-        state.waiters.retain(|(id, _)| *id != self.id);
-        if !state.guard.withdraw(now, self.id) {
+        state.owners.retain(|owner| owner.id != self.id);
+        if !state.guard.withdraw(self.id) {
             let actions = state.guard.done(now, self.id, self.outcome);
             state.act(actions);
         }
@@ -204,9 +232,14 @@
     events: mpsc::Sender<Event>,
 ) {
     let deadline = node.now().after(call.left_us);
+    let notice = async {
+        tokio::time::sleep(NOTICE).await;
+        let _ = events.send(Event::Said(Verdict::Wait)).await;
+        events.closed().await;
+    };
     let admitted = tokio::select! {
         admitted = admit(&node, &call, deadline, &events) => admitted,
-        _ = events.closed() => return,
+        () = notice => return,
     };
     match admitted {
         Ok(admitted) => dispatch::run(node, call, body, events, admitted).await,
@@ -218,7 +251,7 @@
 
 /// Builds a refusal with the load that stood against the request.
 pub fn refused(node: &Node, code: Code, not_run: bool) -> Event {
-    let load = Some(node.gate.load());
+    let load = node.gate.report(node.now());
     Event::Said(Verdict::Refused { code, not_run, load })
 }
 
@@ -249,13 +282,10 @@
     let target = target.ok_or_else(|| refuse(Code::NoTarget))?;
     let watched = watch(node, call).map_err(refuse)?;
     let held = match &call.key {
-        Some(key) => {
-            let _ = events.send(Event::Said(Verdict::Wait)).await;
-            Some(once::win(node, call, key, deadline, events).await?)
-        }
+        Some(key) => Some(once::win(node, call, key, deadline, events).await?),
         None => None,
     };
-    match wait(node, call, deadline, events).await {
+    match wait(node, call, deadline).await {
         Ok(place) => Ok(Admitted { place, held, deadline, target, _watched: watched }),
         Err(code) => {
             if let Some(held) = held {
@@ -266,20 +296,9 @@
     }
 }
 
-async fn wait(
-    node: &Arc<Node>,
-    call: &Call,
-    deadline: Time,
-    events: &mpsc::Sender<Event>,
-) -> Result<Place, Code> {
+async fn wait(node: &Arc<Node>, call: &Call, deadline: Time) -> Result<Place, Code> {
     let mut place = node.gate.offer(node, call, deadline);
-    let decision = match place.decision.try_recv() {
-        Ok(decision) => decision,
-        Err(_) => {
-            let _ = events.send(Event::Said(Verdict::Wait)).await;
-            (&mut place.decision).await.unwrap_or(Err(Code::Overload))
-        }
-    };
+    let decision = (&mut place.decision).await.unwrap_or(Err(Code::TargetBusy));
     decision.map(|()| place)
 }
 
@@ -289,7 +308,7 @@
     match permit {
         Permit::Free => Ok(None),
         Permit::Alone => Ok(Some(Watched { node: node.clone(), print: call.print })),
-        Permit::Busy => Err(Code::Overload),
+        Permit::Busy => Err(Code::TargetBusy),
         Permit::Refused => {
             node.note(Code::Quarantined, &call.service, Some(call.request));
             Err(Code::Quarantined)
@@ -299,8 +318,8 @@
 
 /// Ticks the guard, and tells the others when the target comes or goes.
 pub async fn tick(node: Arc<Node>) {
-    const EVERY: std::time::Duration = std::time::Duration::from_millis(2);
-    const IDLE: std::time::Duration = std::time::Duration::from_millis(50);
+    const EVERY: Duration = Duration::from_millis(2);
+    const IDLE: Duration = Duration::from_millis(50);
     let mut was: Option<Name> = None;
     loop {
         let (pending, _) = node.gate.counts();
--- a/crates/bamboowheel/src/metrics.rs
+++ b/crates/bamboowheel/src/metrics.rs
@@ -48,8 +48,8 @@
     pub control_messages: Counter,
     /// Calls to the table service.
     pub store_calls: Counter,
-    /// Requests that the target runs.
-    pub running: Gauge,
+    /// Requests that run or wait at the target.
+    pub pending: Gauge,
     /// The target's limit.
     pub limit: Gauge,
     /// The version of the configuration in force.
@@ -73,7 +73,7 @@
             control_bytes: Counter::default(),
             control_messages: Counter::default(),
             store_calls: Counter::default(),
-            running: Gauge::default(),
+            pending: Gauge::default(),
             limit: Gauge::default(),
             version: Gauge::default(),
             members: Gauge::default(),
@@ -87,7 +87,7 @@
         let messages = metrics.control_messages.clone();
         registry.register("control_messages", "Control messages sent", messages);
         registry.register("store_calls", "Calls to the table service", metrics.store_calls.clone());
-        registry.register("running", "Requests that the target runs", metrics.running.clone());
+        registry.register("pending", "Requests that run or wait", metrics.pending.clone());
         registry.register("limit", "The target's limit", metrics.limit.clone());
         registry.register("config_version", "Version in force", metrics.version.clone());
         registry.register("members", "Other nodes that are up", metrics.members.clone());
--- a/crates/bamboowheel/src/node.rs
+++ b/crates/bamboowheel/src/node.rs
@@ -166,7 +166,7 @@
     /// Begins to shut down.
     pub fn set_draining(&self) {
         self.draining.store(true, Ordering::SeqCst);
-        self.gate.drain(self.now());
+        self.gate.drain();
     }
 
     /// Counts an exchange until the returned value is dropped.
--- a/crates/bamboowheel/src/once.rs
+++ b/crates/bamboowheel/src/once.rs
@@ -75,7 +75,7 @@
     fields.push(Field { name: mark, value: b"true".to_vec() });
     let (status, length) = (stored.status, Some(stored.body.len() as u64));
     tracing::debug!("guard: request {:016x} has the answer of an earlier run", call.request);
-    let (request, load) = (call.request, Some(node.gate.load()));
+    let (request, load) = (call.request, node.gate.report(node.now()));
     let head = Verdict::Head { request, status, fields, length, load };
     let _ = events.send(Event::Said(head)).await;
     if !stored.body.is_empty() {
--- a/crates/bamboowheelctl/src/cmd/status.rs
+++ b/crates/bamboowheelctl/src/cmd/status.rs
@@ -44,7 +44,7 @@
         return Ok(());
     }
     let rows: Vec<Vec<String>> = pages.iter().map(row).collect();
-    let head = ["NODE", "DATA CENTRE", "VERSION", "SERVICE", "PHASE", "RUNNING", "LIMIT", "UP"];
+    let head = ["NODE", "DATA CENTRE", "VERSION", "SERVICE", "PHASE", "PENDING", "LIMIT", "UP"];
     output::table(&head, &rows);
     Ok(())
 }
@@ -60,7 +60,7 @@
         &page["version"],
         &page["target"]["service"],
         &page["load"]["phase"],
-        &page["load"]["running"],
+        &page["load"]["pending"],
         &page["load"]["limit"],
     ];
     let mut row: Vec<String> = cells.into_iter().map(text).collect();
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -7,7 +7,7 @@
 use crate::{Entry, Load, Time};
 
 /// Attempts of one call, hedges included.
-const ATTEMPTS: usize = 4;
+const ATTEMPTS: usize = 6;
 /// Automatic repeats after a target failed while it ran the request.
 const REPEATS: u32 = 1;
 /// A guard that says nothing for this long is doubted, in microseconds.
@@ -137,10 +137,10 @@
         if let Some(load) = load {
             service.picker.reported(now, target, load);
         }
-        service.picker.ended(now, target, Health::Good);
-        if let Some((_, begun)) = self.tried.iter().rev().find(|(name, _)| name == target) {
-            service.answered(now.since(*begun));
-        }
+        let begun = self.tried.iter().rev().find(|(name, _)| name == target);
+        let latency_us = begun.map_or(0, |(_, begun)| now.since(*begun));
+        service.picker.ended(now, target, Health::Good(latency_us));
+        service.answered(latency_us);
         self.open.retain(|open| open.target != *target);
         for loser in self.open.drain(..) {
             let silent = !loser.heard && now.since(loser.sent) > SILENT_US;
@@ -201,6 +201,16 @@
         }
     }
 
+    /// Takes in that a target slowed down while it runs the request, which is worth a hedge at once.
+    pub fn slowed(&mut self, now: Time, entry: &mut Entry, rng: &mut impl Rng) -> Step {
+        let may_hedge = self.hedge_at != Time::NEVER && now < self.ask.deadline;
+        if !may_hedge {
+            return Step::Wait(self.due());
+        }
+        self.hedge_at = Time::NEVER;
+        self.another(now, entry, rng, true)
+    }
+
     /// Returns when `timer` is due.
     pub fn due(&self) -> Time {
         let silent = self.open.iter().filter(|open| !open.heard && !open.doubted);
@@ -269,6 +279,9 @@
         if self.tried.len() >= ATTEMPTS || !service.retries.take(now, 1.0) {
             return Step::GiveUp(code, !self.may_have_run);
         }
+        if code == Code::Overload && !service.picker.has_room(now, &self.names()) {
+            return Step::GiveUp(code, !self.may_have_run);
+        }
         self.send(now, entry, rng, code)
     }
 
@@ -326,6 +339,7 @@
         code,
         Code::NoTarget
             | Code::Overload
+            | Code::TargetBusy
             | Code::OutOfService
             | Code::ShuttingDown
             | Code::TargetRefused
--- a/crates/policy/src/guard.rs
+++ b/crates/policy/src/guard.rs
@@ -2,15 +2,20 @@
 
 use world::{Announcement, Class, Code, TargetState};
 
+use crate::limit::Sign;
 use crate::queue::{Queue, Waiting};
-use crate::{Limit, Load, Phase, Time};
+use crate::{Bucket, Limit, Load, Pace, Phase, Time};
 
 /// A target that has not announced itself for this long is taken for dead.
 const SILENCE_US: u64 = 3_000_000;
 /// Waiting requests per running one, at most.
 const QUEUE_PER_SLOT: usize = 2;
-/// Overdue running requests that together are a sign of a fall back to cold.
-const OVERDUE_SIGN: usize = 3;
+/// Waiting requests per running one in a queue that stands, at most.
+const STANDING_PER_SLOT: f64 = 0.25;
+/// Load reports that a guard sends in a second, at most, but for changes of phase.
+const REPORT_RATE: f64 = 200.0;
+/// Load reports that may be saved up.
+const REPORT_BURST: f64 = 20.0;
 
 /// What the rules say about the target's service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -41,6 +46,8 @@
     Run(u64),
     /// Refuse this request; it was not dispatched.
     Refuse(u64, Code),
+    /// Tell this request's entry that the target slowed down while it runs there.
+    Slow(u64),
 }
 
 /// How a dispatched request ended.
@@ -65,6 +72,8 @@
     begun: Option<Time>,
     /// Whether its answer began.
     headed: bool,
+    /// Whether its entry was told that the target slowed down.
+    warned: bool,
 }
 
 /// The state in front of one target. All work for the target passes through it.
@@ -75,6 +84,7 @@
     target: Option<Announcement>,
     heard: Time,
     limit: Limit,
+    pace: Pace,
     queue: Queue,
     /// Sorted by id; never more than the limit at the time of a dispatch.
     running: Vec<Running>,
@@ -83,6 +93,9 @@
     /// The operators took the data centre out.
     out: bool,
     seq: u32,
+    reports: Bucket,
+    /// The phase of the last report.
+    told: Phase,
     /// Limit cuts since the guard opened.
     cuts: u64,
 }
@@ -95,15 +108,23 @@
             target: None,
             heard: now,
             limit: Limit::new(0, settings.cold_slots, settings.warm_answers, now),
-            queue: Queue::new(now),
+            pace: Pace::default(),
+            queue: Queue::new(),
             running: Vec::new(),
             draining: false,
             out: false,
             seq: 0,
+            reports: Bucket::new(REPORT_BURST, REPORT_RATE),
+            told: Phase::Down,
             cuts: 0,
         }
     }
 
+    /// Sets how many load reports are sent in a second, at most, but for changes of phase.
+    pub fn set_report_rate(&mut self, rate: f64) {
+        self.reports = Bucket::new(REPORT_BURST, rate);
+    }
+
     /// Takes over changed rules. They hold from the target's next start or fall.
     pub fn configure(&mut self, settings: Settings) {
         self.settings = settings;
@@ -135,44 +156,44 @@
         if fresh {
             let Settings { cold_slots, warm_answers } = self.settings;
             self.limit = Limit::new(announcement.slots, cold_slots, warm_answers, now);
+            self.pace = Pace::default();
         }
         self.limit.set_slots(announcement.slots);
         let was_cold = known.is_some_and(|(_, state)| state == TargetState::Cold);
-        if announcement.state == TargetState::Cold && !was_cold {
-            self.cut(now);
+        if announcement.state == TargetState::Cold && !was_cold && !fresh {
+            self.limit.cut(now, Sign::Refusal);
         }
         self.target = Some(announcement);
         fresh
     }
 
     /// Marks the target as dead. What waits is refused; what runs ends by its own connections.
-    pub fn died(&mut self, now: Time) -> Vec<Action> {
+    pub fn died(&mut self) -> Vec<Action> {
         self.target = None;
-        self.refuse_all(now, Code::NoTarget)
+        self.refuse_all(Code::NoTarget)
     }
 
     /// Begins to drain: nothing new is taken, what waits is refused, what runs ends.
-    pub fn drain(&mut self, now: Time) -> Vec<Action> {
+    pub fn drain(&mut self) -> Vec<Action> {
         self.draining = true;
-        self.refuse_all(now, Code::ShuttingDown)
+        self.refuse_all(Code::ShuttingDown)
     }
 
     /// Marks the data centre as out or in. On its return the target ramps as if cold.
     pub fn set_out(&mut self, now: Time, out: bool) -> Vec<Action> {
         let back = self.out && !out;
         self.out = out;
-        if back {
-            self.cut(now);
-        }
         match out {
-            true => self.refuse_all(now, Code::OutOfService),
+            true => self.refuse_all(Code::OutOfService),
+            false if back => self.cut(now),
             false => Vec::new(),
         }
     }
 
     /// Decides on a request. No action for it means that it waits.
     pub fn offer(&mut self, now: Time, offer: Offer) -> Vec<Action> {
-        let mut actions = self.expire(now);
+        let mut actions = self.check_pace(now);
+        actions.extend(self.expire(now));
         let decision = self.decide(now, &offer, &mut actions);
         actions.extend(decision);
         actions
@@ -180,6 +201,7 @@
 
     /// Notes that the target has the whole body of a request, so that its service time begins.
     pub fn received(&mut self, now: Time, id: u64) {
+        self.pace.pass(now, self.working());
         if let Ok(at) = self.find(id) {
             self.running[at].begun.get_or_insert(now);
         }
@@ -187,58 +209,61 @@
 
     /// Notes that the target began to answer, and whether with success.
     pub fn headed(&mut self, now: Time, id: u64, success: bool) {
+        self.pace.pass(now, self.working());
         let Ok(at) = self.find(id) else { return };
         let running = &mut self.running[at];
         running.headed = true;
         if let Some(begun) = running.begun.filter(|_| success) {
-            if self.limit.answered(now, running.sent, begun) {
-                self.cuts += 1;
-            }
+            let service_us = now.since(begun) as f64;
+            self.pace.answered(service_us);
+            self.limit.answered(running.sent, service_us);
         }
     }
 
     /// Takes in how a dispatched request ended, and its place is free again.
     pub fn done(&mut self, now: Time, id: u64, outcome: Outcome) -> Vec<Action> {
+        self.pace.pass(now, self.working());
         let Ok(at) = self.find(id) else { return Vec::new() };
         self.running.remove(at);
-        match outcome {
+        let mut actions = match outcome {
             Outcome::Shed | Outcome::Broken => self.cut(now),
-            Outcome::Answered | Outcome::Cancelled => {}
-        }
-        let mut actions = self.expire(now);
+            Outcome::Answered | Outcome::Cancelled => Vec::new(),
+        };
+        actions.extend(self.expire(now));
         self.start(now, &mut actions);
         actions
     }
 
     /// Withdraws a request that waits.
-    pub fn withdraw(&mut self, now: Time, id: u64) -> bool {
-        self.queue.remove(now, id)
+    pub fn withdraw(&mut self, id: u64) -> bool {
+        self.queue.remove(id)
     }
 
     /// Does what is due by time alone. To be called every few milliseconds while work is pending.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         if self.target.is_some() && now.since(self.heard) > SILENCE_US {
-            return self.died(now);
+            return self.died();
         }
-        if self.is_overdue(now) {
-            self.cut(now);
-        }
-        let mut actions = self.expire(now);
+        let mut actions = self.check_pace(now);
+        actions.extend(self.expire(now));
         self.start(now, &mut actions);
         actions
     }
 
-    /// Returns the load report for the next frame to an entry.
+    /// Returns the load report for the next frame to an entry, where it is worth its bytes: at a
+    /// change of phase always, otherwise within a budget.
+    pub fn report(&mut self, now: Time) -> Option<Load> {
+        let phase = self.phase();
+        let is_due = phase != self.told || self.reports.take(now, 1.0);
+        self.told = phase;
+        is_due.then(|| self.load())
+    }
+
+    /// Returns the load report, whatever it costs.
     pub fn load(&mut self) -> Load {
         self.seq += 1;
-        Load {
-            seq: self.seq,
-            phase: self.phase(),
-            running: self.running.len() as u16,
-            queued: self.queue.len() as u16,
-            limit: self.limit.limit() as u16,
-            service_us: self.limit.service_us() as u32,
-        }
+        let service_us = self.limit.service_us();
+        Load::new(self.phase(), self.seq, self.limit.limit(), self.pending(), service_us)
     }
 
     /// Returns what the target can take.
@@ -263,19 +288,21 @@
             return Some(self.run(now, offer.id));
         }
         if offer.spare {
-            return Some(Action::Refuse(offer.id, Code::Overload));
+            return Some(Action::Refuse(offer.id, Code::TargetBusy));
         }
         let waiting =
             Waiting { id: offer.id, class: offer.class, arrived: now, deadline: offer.deadline };
         if self.is_worth_waiting(now, offer) {
-            self.queue.push(now, waiting);
+            self.queue.push(waiting);
             return None;
         }
+        self.queue.note_refusal(now);
+        let code = self.full();
         let Some(evicted) = self.queue.evict_below(offer.class) else {
-            return Some(Action::Refuse(offer.id, Code::Overload));
+            return Some(Action::Refuse(offer.id, code));
         };
-        actions.push(Action::Refuse(evicted.id, Code::Overload));
-        self.queue.push(now, waiting);
+        actions.push(Action::Refuse(evicted.id, code));
+        self.queue.push(waiting);
         None
     }
 
@@ -299,54 +326,90 @@
 
     fn is_worth_waiting(&self, now: Time, offer: &Offer) -> bool {
         let limit = self.limit.limit().max(1) as usize;
-        if self.queue.len() >= limit * QUEUE_PER_SLOT {
+        let can_wait = self.queue.is_standing() && offer.class >= Class::Normal;
+        let places = match can_wait {
+            true => (limit as f64 * STANDING_PER_SLOT) as usize,
+            false => limit * QUEUE_PER_SLOT,
+        };
+        if self.queue.len() >= places {
             return false;
         }
         let ahead = self.queue.ahead(offer.class) + 1;
         let wait_us = self.limit.service_us() * ahead as f64 / limit as f64;
-        let patience_us = self.queue.patience_us(now, offer.class) as f64;
+        let patience_us = self.queue.patience_us(offer.class) as f64;
         wait_us <= patience_us && now.after(wait_us as u64) < offer.deadline
     }
 
     fn run(&mut self, now: Time, id: u64) -> Action {
         let at = self.running.partition_point(|running| running.id < id);
-        self.running.insert(at, Running { id, sent: now, begun: None, headed: false });
+        self.running
+            .insert(at, Running { id, sent: now, begun: None, headed: false, warned: false });
         Action::Run(id)
     }
 
     fn start(&mut self, now: Time, actions: &mut Vec<Action>) {
         while self.closed().is_none() && self.has_room() {
-            let Some(waiting) = self.queue.pop(now) else { return };
+            let Some(waiting) = self.queue.pop() else { return };
             let action = self.run(now, waiting.id);
             actions.push(action);
         }
     }
 
     fn expire(&mut self, now: Time) -> Vec<Action> {
+        self.queue.observe(now, self.limit.limit() as usize);
         let gone = self.queue.expire(now);
         gone.into_iter().map(|(waiting, code)| Action::Refuse(waiting.id, code)).collect()
     }
 
-    fn refuse_all(&mut self, now: Time, code: Code) -> Vec<Action> {
-        let all = self.queue.clear(now);
+    fn refuse_all(&mut self, code: Code) -> Vec<Action> {
+        let all = self.queue.clear();
         all.into_iter().map(|waiting| Action::Refuse(waiting.id, code)).collect()
     }
 
-    fn cut(&mut self, now: Time) {
-        if self.limit.cut(now) {
-            self.cuts += 1;
+    /// Cuts the limit, and refuses what waits: it is served sooner elsewhere.
+    fn cut(&mut self, now: Time) -> Vec<Action> {
+        self.cut_by(now, Sign::Refusal)
+    }
+
+    fn cut_by(&mut self, now: Time, sign: Sign) -> Vec<Action> {
+        self.pace.restart();
+        if !self.limit.cut(now, sign) {
+            return Vec::new();
         }
+        self.cuts += 1;
+        self.refuse_all(Code::TargetBusy)
     }
 
-    fn is_overdue(&self, now: Time) -> bool {
-        let Some(overdue_us) = self.limit.overdue_us().filter(|_| !self.limit.is_cold()) else {
-            return false;
-        };
-        let late = |running: &&Running| {
-            let begun = running.begun.filter(|_| !running.headed);
-            begun.is_some_and(|begun| now.since(begun) > overdue_us)
-        };
-        let count = self.running.iter().filter(late).count();
-        count >= OVERDUE_SIGN && count * 2 > self.running.len()
+    /// Returns why there is no room: for want of capacity, or only just now.
+    fn full(&self) -> Code {
+        match self.queue.is_standing() {
+            true => Code::Overload,
+            false => Code::TargetBusy,
+        }
+    }
+
+    fn check_pace(&mut self, now: Time) -> Vec<Action> {
+        if !self.pace.is_slow(now, self.working()) {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        for running in self.running.iter_mut().filter(|running| running.is_worked_on()) {
+            if !std::mem::replace(&mut running.warned, true) {
+                actions.push(Action::Slow(running.id));
+            }
+        }
+        actions.extend(self.cut_by(now, Sign::Pace));
+        actions
+    }
+
+    /// Returns how many requests the target works on.
+    fn working(&self) -> usize {
+        self.running.iter().filter(|running| running.is_worked_on()).count()
+    }
+}
+
+impl Running {
+    fn is_worked_on(&self) -> bool {
+        self.begun.is_some() && !self.headed
     }
 }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -2,18 +2,17 @@
 
 use crate::Time;
 
-/// Service times kept to tell a jump from a single slow answer.
-const RECENT: usize = 7;
-/// A median this many times the usual service time is a sign of a fall back to cold.
-const JUMP: f64 = 4.0;
-/// Weight of one answer in the moving mean of the usual service time.
-const USUAL_WEIGHT: f64 = 0.02;
-/// Answers before the usual service time is trusted.
-const USUAL_ANSWERS: u32 = 30;
 /// Weight of one answer in the moving mean that entries see.
 const MEAN_WEIGHT: f64 = 0.1;
-/// The least service time that is called a jump, in microseconds.
-const JUMP_FLOOR_US: f64 = 2_000.0;
+
+/// Why a limit is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// The target refused, broke a connection or says that it is cold: it bears little.
+    Refusal,
+    /// The target slowed down: it may be cold, or its neighbours are loud.
+    Pace,
+}
 
 /// A target's concurrency limit: never above its slots, small while it is cold, cut at once on the
 /// first sign of a fall back to cold, and grown again only by answers to requests begun since.
@@ -31,15 +30,11 @@
     cold: bool,
     /// When the limit was last cut.
     cut: Time,
+    /// Answers after which the limit grows by one since the last cut.
+    step: u32,
     /// Answers since the limit last grew, to requests begun since `cut`.
     credit: u32,
-    usual_us: f64,
     mean_us: f64,
-    answers: u32,
-    recent: [f64; RECENT],
-    /// Entries of `recent` since the last cut.
-    filled: usize,
-    at: usize,
 }
 
 impl Limit {
@@ -52,13 +47,9 @@
             limit: cold_slots.min(slots),
             cold: cold_slots < slots,
             cut: now,
+            step: warm_answers.max(1),
             credit: 0,
-            usual_us: 0.0,
             mean_us: 0.0,
-            answers: 0,
-            recent: [0.0; RECENT],
-            filled: 0,
-            at: 0,
         }
     }
 
@@ -77,20 +68,18 @@
         self.mean_us
     }
 
-    /// Returns the service time from which a running request is a sign of trouble.
-    pub fn overdue_us(&self) -> Option<u64> {
-        let known = self.answers >= USUAL_ANSWERS;
-        known.then(|| (self.usual_us * JUMP).max(JUMP_FLOOR_US) as u64)
-    }
-
     /// Cuts the limit to what a cold target bears. Returns whether that changed anything.
-    pub fn cut(&mut self, now: Time) -> bool {
+    pub fn cut(&mut self, now: Time, sign: Sign) -> bool {
         let was = (self.cold, self.limit);
+        self.step = match sign {
+            Sign::Refusal => self.warm_answers,
+            Sign::Pace if self.cold => self.step,
+            Sign::Pace => 1,
+        };
         self.limit = self.cold_slots.min(self.slots);
         self.cold = self.cold_slots < self.slots;
         self.cut = now;
         self.credit = 0;
-        self.filled = 0;
         was != (self.cold, self.limit)
     }
 
@@ -100,47 +89,24 @@
         self.limit = self.limit.min(slots);
     }
 
-    /// Takes in an answer to a request that was dispatched at `sent` and that the target had whole
-    /// at `begun`. Returns whether the limit was cut.
-    pub fn answered(&mut self, now: Time, sent: Time, begun: Time) -> bool {
-        let service_us = now.since(begun) as f64;
-        let jumped = self.jumped(service_us);
-        self.learn(service_us);
-        if jumped {
-            return self.cut(now);
-        }
+    /// Takes in an answer after `service_us` to a request that was dispatched at `sent`.
+    pub fn answered(&mut self, sent: Time, service_us: f64) {
+        self.mean_us = match self.mean_us {
+            0.0 => service_us,
+            mean_us => mean_us + (service_us - mean_us) * MEAN_WEIGHT,
+        };
         if sent >= self.cut {
             self.grow();
         }
-        false
     }
 
     fn grow(&mut self) {
         self.credit += 1;
-        if self.credit < self.warm_answers || self.limit >= self.slots {
+        if self.credit < self.step || self.limit >= self.slots {
             return;
         }
         self.credit = 0;
         self.limit += 1;
         self.cold &= self.limit < self.slots;
     }
-
-    fn learn(&mut self, service_us: f64) {
-        self.answers = self.answers.saturating_add(1);
-        let first = 1.0 / f64::from(self.answers);
-        self.mean_us += (service_us - self.mean_us) * first.max(MEAN_WEIGHT);
-        self.usual_us += (service_us - self.usual_us) * first.max(USUAL_WEIGHT);
-    }
-
-    fn jumped(&mut self, service_us: f64) -> bool {
-        self.recent[self.at] = service_us;
-        self.at = (self.at + 1) % RECENT;
-        self.filled = (self.filled + 1).min(RECENT);
-        if self.cold || self.filled < RECENT || self.answers < USUAL_ANSWERS {
-            return false;
-        }
-        let mut sorted = self.recent;
-        sorted.sort_by(f64::total_cmp);
-        sorted[RECENT / 2] > (self.usual_us * JUMP).max(JUMP_FLOOR_US)
-    }
 }
--- a/crates/policy/src/picker.rs
+++ b/crates/policy/src/picker.rs
@@ -15,6 +15,8 @@
 const FORGET_US: u64 = 2_000_000;
 /// Weight of use in the cost of a target that has room.
 const SPREAD: f64 = 0.6;
+/// How much the room of a cold target counts, since it grows warm only by work.
+const COLD_FAVOUR: f64 = 2.5;
 /// Room that a full target is still given when targets are sampled.
 const LEAST_ROOM: f64 = 0.2;
 /// Failures in a row that eject a target.
@@ -29,6 +31,10 @@
 const EJECT_DOUBLINGS: u32 = 5;
 /// An ejected target comes back to its full share over this time, in microseconds.
 const RETURN_US: u64 = 2_000_000;
+/// Weight of one answer in the moving mean of an entry's own latencies.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// Share of an entry's own latency at a target that its service time is taken to have at least.
+const OWN_SHARE: f64 = 0.8;
 /// Limit that a target without a report is taken to have.
 const UNKNOWN_LIMIT: f64 = 2.0;
 /// Service time that a target without a report is taken to have, in microseconds.
@@ -46,8 +52,8 @@
 /// How an attempt at a target ended, as far as the target's health goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
-    /// It answered.
-    Good,
+    /// It answered after this many microseconds.
+    Good(u64),
     /// It failed, or the link to it did.
     Bad,
     /// The link to it is gone.
@@ -66,6 +72,8 @@
     own: u32,
     /// Attempts of this entry begun since `at`.
     since: u32,
+    /// A moving mean of this entry's own latencies there, in microseconds.
+    latency_us: f64,
     /// Failures in a row.
     in_row: u32,
     /// Moving share of failures, 0 to 1.
@@ -124,6 +132,13 @@
         })
     }
 
+    /// Returns whether a target that was not tried yet seems to have a free place.
+    pub fn has_room(&self, now: Time, tried: &[Name]) -> bool {
+        let untried = self.known.iter().filter(|known| !tried.contains(&known.route.target));
+        let mut open = untried.filter(|known| known.is_open());
+        open.any(|known| known.pending(now) < known.limit())
+    }
+
     /// Returns a target whose load is worth a probe.
     pub fn stale(&self, now: Time, rng: &mut impl Rng) -> Option<Name> {
         let is_stale = |known: &&Known| now.since(known.at) > STALE_US;
@@ -142,9 +157,8 @@
     /// Takes in a load report. A report older than the last one is dropped.
     pub fn reported(&mut self, now: Time, target: &str, load: Load) {
         let Some(known) = self.find(target) else { return };
-        let seen = known.load.map_or(0, |last| last.seq);
-        let restarted = load.seq < seen && seen - load.seq > u32::MAX / 2;
-        if load.seq < seen && !restarted && now.since(known.at) < FORGET_US {
+        let is_late = known.load.is_some_and(|last| load.is_before(&last));
+        if is_late && now.since(known.at) < STALE_US {
             return;
         }
         known.load = Some(load);
@@ -157,7 +171,7 @@
         let Some(known) = self.find(target) else { return };
         known.own = known.own.saturating_sub(1);
         match health {
-            Health::Good => known.succeeded(now),
+            Health::Good(latency_us) => known.succeeded(now, latency_us),
             Health::Bad => known.failed(now, false),
             Health::Gone => known.failed(now, true),
             Health::Unknown => {}
@@ -207,6 +221,7 @@
             at: Time::default(),
             own: 0,
             since: 0,
+            latency_us: 0.0,
             in_row: 0,
             failing: 0.0,
             ejected: Time::default(),
@@ -226,14 +241,16 @@
         let own = f64::from(self.own);
         let Some(load) = self.load else { return own };
         let age = now.since(self.at).min(FORGET_US) as f64 / FORGET_US as f64;
-        let reported = f64::from(load.pending()) * (1.0 - age);
+        let reported = f64::from(load.pending) * (1.0 - age);
         (reported + f64::from(self.since)).max(own)
     }
 
     /// The places that seem free, never zero, less after an ejection.
     fn room(&self, now: Time) -> f64 {
-        let down = self.load.is_some_and(|load| load.phase == Phase::Down);
+        let phase = self.load.map(|load| load.phase);
+        let down = phase == Some(Phase::Down);
         let room = (self.limit() - self.pending(now)).max(LEAST_ROOM);
+        let room = if phase == Some(Phase::Cold) { room * COLD_FAVOUR } else { room };
         let returned = now.since(self.ejected) as f64 / RETURN_US as f64;
         let share = match self.ejections {
             0 => 1.0,
@@ -249,7 +266,8 @@
     fn cost(&self, now: Time) -> f64 {
         let limit = self.limit();
         let pending = self.pending(now);
-        let service_us = self.load.map_or(UNKNOWN_SERVICE_US, |load| f64::from(load.service_us));
+        let service_us = self.load.map_or(UNKNOWN_SERVICE_US, |load| load.service_us());
+        let service_us = service_us.max(self.latency_us * OWN_SHARE);
         let over = (pending + 1.0 - limit).max(0.0) / limit;
         let used = (pending / limit).min(1.0);
         let wait_us = service_us * (1.0 + over * 2.0 + SPREAD * used * used);
@@ -257,7 +275,9 @@
         (wait_us + self.route.rtt_us as f64) / (succeeding * succeeding)
     }
 
-    fn succeeded(&mut self, now: Time) {
+    fn succeeded(&mut self, now: Time, latency_us: u64) {
+        let latency_us = latency_us.saturating_sub(self.route.rtt_us) as f64;
+        self.latency_us += (latency_us - self.latency_us) * LATENCY_WEIGHT;
         self.in_row = 0;
         self.failing *= 1.0 - FAILURE_WEIGHT;
         if self.ejections > 0 && now.since(self.ejected) > RETURN_US {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -8,12 +8,16 @@
 
 /// Every this many starts take the oldest waiting request, whatever its class, so that none starves.
 const FAIR_SHARE: u32 = 10;
-/// A queue that has not been empty for this long stands, and waits are cut short.
-const STANDING_US: u64 = 60_000;
-/// The longest wait in a queue that stands.
+/// A queue that is long for this time stands, in microseconds: this is no burst.
+const STANDING_US: u64 = 250_000;
+/// A queue is long that has one waiting request for each this many places.
+const LONG_SHARE: usize = 4;
+/// A queue that stands is taken to stand until nothing was refused for this time, in microseconds.
+const RELIEF_US: u64 = 100_000;
+/// The longest wait of classes that can wait, in a queue that stands, in microseconds.
 const STANDING_WAIT_US: u64 = 2_000;
-/// The longest wait otherwise.
-const BURST_WAIT_US: u64 = 30_000;
+/// The longest wait otherwise, in microseconds.
+const BURST_WAIT_US: u64 = 12_000;
 
 /// A request that waits for a free place.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -29,19 +33,45 @@
 }
 
 /// Requests that wait, by class, oldest first.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Queue {
     /// One list for each class, sorted by arrival.
     lists: [VecDeque<Waiting>; Class::ALL.len()],
-    /// When the queue was last empty.
-    empty: Time,
+    /// Since when the queue is long.
+    long: Option<Time>,
+    /// When something was last refused, while the queue stands.
+    refused: Option<Time>,
     starts: u32,
 }
 
 impl Queue {
     /// Opens an empty queue.
-    pub fn new(now: Time) -> Queue {
-        Queue { lists: Default::default(), empty: now, starts: 0 }
+    pub fn new() -> Queue {
+        Queue::default()
+    }
+
+    /// Works out anew whether the queue stands, in front of `places` at the target.
+    pub fn observe(&mut self, now: Time, places: usize) {
+        if self.len() < (places / LONG_SHARE).max(1) {
+            self.long = None;
+        } else if now.since(*self.long.get_or_insert(now)) > STANDING_US {
+            self.refused = Some(now);
+        }
+        if self.refused.is_some_and(|refused| now.since(refused) > RELIEF_US) {
+            self.refused = None;
+        }
+    }
+
+    /// Notes that something was refused for want of room.
+    pub fn note_refusal(&mut self, now: Time) {
+        if self.is_standing() {
+            self.refused = Some(now);
+        }
+    }
+
+    /// Returns whether the queue is long for longer than a burst.
+    pub fn is_standing(&self) -> bool {
+        self.refused.is_some()
     }
 
     /// Returns how many requests wait.
@@ -60,32 +90,26 @@
     }
 
     /// Returns the longest wait that is worth while for a request of this class.
-    pub fn patience_us(&self, now: Time, class: Class) -> u64 {
-        let standing = !self.is_empty() && now.since(self.empty) > STANDING_US;
-        match standing && class >= Class::Normal {
+    pub fn patience_us(&self, class: Class) -> u64 {
+        match self.is_standing() && class >= Class::Normal {
             true => STANDING_WAIT_US,
             false => BURST_WAIT_US,
         }
     }
 
     /// Adds a request.
-    pub fn push(&mut self, now: Time, waiting: Waiting) {
-        if self.is_empty() {
-            self.empty = now;
-        }
+    pub fn push(&mut self, waiting: Waiting) {
         self.lists[waiting.class as usize].push_back(waiting);
     }
 
     /// Takes the request that starts next.
-    pub fn pop(&mut self, now: Time) -> Option<Waiting> {
+    pub fn pop(&mut self) -> Option<Waiting> {
         self.starts = self.starts.wrapping_add(1);
         let first = match self.starts.is_multiple_of(FAIR_SHARE) {
             true => self.oldest(),
             false => self.lists.iter().position(|list| !list.is_empty()),
         };
-        let waiting = self.lists[first?].pop_front();
-        self.note_empty(now);
-        waiting
+        self.lists[first?].pop_front()
     }
 
     /// Takes the youngest request of a class served after `class`.
@@ -96,10 +120,9 @@
     }
 
     /// Takes a request out.
-    pub fn remove(&mut self, now: Time, id: u64) -> bool {
+    pub fn remove(&mut self, id: u64) -> bool {
         let before = self.len();
         self.lists.iter_mut().for_each(|list| list.retain(|waiting| waiting.id != id));
-        self.note_empty(now);
         self.len() < before
     }
 
@@ -107,32 +130,24 @@
     pub fn expire(&mut self, now: Time) -> Vec<(Waiting, Code)> {
         let mut gone = Vec::new();
         for class in Class::ALL {
-            let patience = self.patience_us(now, class);
+            let patience = self.patience_us(class);
+            let late = if self.is_standing() { Code::Overload } else { Code::TargetBusy };
             self.lists[class as usize].retain(|waiting| {
                 let code = match () {
                     _ if waiting.deadline <= now => Code::DeadlinePassed,
-                    _ if now.since(waiting.arrived) > patience => Code::Overload,
+                    _ if now.since(waiting.arrived) > patience => late,
                     _ => return true,
                 };
                 gone.push((*waiting, code));
                 false
             });
         }
-        self.note_empty(now);
         gone
     }
 
     /// Takes out every request.
-    pub fn clear(&mut self, now: Time) -> Vec<Waiting> {
-        let all = self.lists.iter_mut().flat_map(std::mem::take).collect();
-        self.note_empty(now);
-        all
-    }
-
-    fn note_empty(&mut self, now: Time) {
-        if self.is_empty() {
-            self.empty = now;
-        }
+    pub fn clear(&mut self) -> Vec<Waiting> {
+        self.lists.iter_mut().flat_map(std::mem::take).collect()
     }
 
     fn oldest(&self) -> Option<usize> {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,6 @@
 pub mod load;
 pub mod mesh;
 pub mod report;
+pub mod sim;
 pub mod table;
 pub mod target;
-pub mod sim;
--- a/crates/testkit/src/sim/baseline.rs
+++ b/crates/testkit/src/sim/baseline.rs
@@ -12,6 +12,8 @@
 
 /// Time between two load reports, in microseconds.
 const REPORT_US: u64 = 100_000;
+/// Bytes of a report, with its packet.
+const MESSAGE_BYTES: u64 = 80;
 /// Time after which entries no longer use a data centre that is out, in microseconds.
 const LEARN_US: u64 = 500_000;
 
@@ -146,9 +148,10 @@
         for (at, target) in self.targets.iter().enumerate() {
             self.reported[at] = target.running.len() + self.queues[at].len();
         }
-        let messages = (self.fleet.entries.len() * self.targets.len()) as u64;
         if self.policy == Baseline::LeastReported {
-            self.row.control_bytes += messages * 100;
+            let messages = self.fleet.entries.len() as u64;
+            let senders = self.row.control_bytes.iter_mut().take(self.targets.len());
+            senders.for_each(|bytes| *bytes += messages * MESSAGE_BYTES);
         }
         let last = self.fleet.arrivals.last().map_or(0, |last| last.at);
         if now < last {
--- a/crates/testkit/src/sim/oracle.rs
+++ b/crates/testkit/src/sim/oracle.rs
@@ -1,8 +1,9 @@
 //! The all-knowing dispatcher without delay: one queue in front of all targets, every request to
-//! the free place where it is done first. No policy can do better on the same arrivals.
+//! the place where it is done first, be that a free one or one that is about to be free. It knows
+//! every service time and every slow spell to come.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 
 use world::Class;
 
@@ -22,6 +23,8 @@
     targets: Vec<TargetModel>,
     queues: [VecDeque<usize>; Class::ALL.len()],
     events: BinaryHeap<Reverse<(u64, Event)>>,
+    /// When the places of each target are free again.
+    frees: Vec<BTreeSet<u64>>,
     row: Row,
 }
 
@@ -34,6 +37,7 @@
         targets: fleet.weather.iter().cloned().map(model).collect(),
         queues: Default::default(),
         events: BinaryHeap::new(),
+        frees: vec![BTreeSet::new(); fleet.targets.len()],
         row: Row::new("all-knowing", fleet.entries.len()),
     };
     for (at, weather) in fleet.weather.iter().enumerate() {
@@ -71,6 +75,7 @@
     }
 
     fn done(&mut self, now: u64, target: usize, id: u64) {
+        self.frees[target].remove(&now);
         if self.targets[target].over(id, true) {
             let Arrival { at, class, .. } = self.fleet.arrivals[id as usize];
             self.row.answer(class, at, now);
@@ -84,22 +89,26 @@
             self.queues[class].pop_front();
             let demand_us = self.fleet.arrivals[id].demand_us;
             if let Said::At(done) = self.targets[target].take(now, id as u64, demand_us) {
+                self.frees[target].insert(done);
                 self.events.push(Reverse((done, Event::Done(target, id as u64))));
             }
         }
     }
 
+    /// Returns the free place where a request is done first, unless it is done sooner by waiting
+    /// for another.
     fn best(&self, now: u64, id: usize) -> Option<usize> {
         let demand_us = self.fleet.arrivals[id].demand_us;
         let out = self.leaves && (LEAVE_US.0..LEAVE_US.1).contains(&now);
         let usable = (0..self.targets.len()).filter(|at| !(out && self.fleet.targets[*at] == 1));
-        let timed = usable.filter_map(|at| {
-            let mut trial = self.targets[at].clone();
-            match trial.take(now, id as u64, demand_us) {
-                Said::At(done) => Some((done, at)),
-                Said::Shed => None,
-            }
+        let (free, full): (Vec<usize>, Vec<usize>) =
+            usable.partition(|at| self.targets[*at].has_room(now));
+        let timed = free.into_iter().map(|at| (self.targets[at].finish(now, demand_us), at));
+        let (done, at) = timed.min()?;
+        let waiting = full.into_iter().filter_map(|at| {
+            let free = *self.frees[at].first()?;
+            Some(self.targets[at].finish(free.max(now), demand_us))
         });
-        timed.min().map(|(_, at)| at)
+        waiting.min().is_none_or(|later| done <= later).then_some(at)
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -85,6 +85,8 @@
     Wait,
     /// It is dispatched, and the rest of its body may come.
     Run(Option<Load>),
+    /// The target slowed down while it runs the request.
+    Slow,
     /// It was not dispatched.
     Refused {
         /// Why.
--- a/crates/world/src/code.rs
+++ b/crates/world/src/code.rs
@@ -55,6 +55,7 @@
     ShuttingDown = 2017, "the node is shutting down";
     TargetRefused = 2018, "the target shed the request before it ran";
     AnswerLost = 2019, "the request ran once, and its answer was too large to be kept";
+    TargetBusy = 2020, "the target bears no more at the moment";
     Conflict = 3001, "another change was accepted first";
     StoreUnknown = 3002, "the store did not say whether the change took effect";
     StoreUnavailable = 3003, "the store is not available";
