--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -35,12 +35,6 @@
         true
     }
 
-    /// Takes `tokens` that were spent already; the bucket may go into debt.
-    pub fn charge(&mut self, now: Time, tokens: f64) {
-        self.fill(now);
-        self.tokens -= tokens;
-    }
-
     fn fill(&mut self, now: Time) {
         let seconds = now.since(self.filled) as f64 / 1e6;
         self.filled = self.filled.max(now);
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -6,7 +6,7 @@
 use crate::{Ask, Bucket, Call, Load, Route, ServiceState, Step, Time};
 
 /// Bytes a second that an entry may spend on explicit probes.
-const PROBE_RATE: f64 = 500.0;
+const PROBE_RATE: f64 = 250.0;
 /// Bytes that one probe and its answer take on the network.
 const PROBE_BYTES: f64 = 260.0;
 /// Probes that may be saved up.
--- a/crates/policy/src/guard.rs
+++ b/crates/policy/src/guard.rs
@@ -13,7 +13,11 @@
 /// Waiting requests per running one in a queue that stands, at most.
 const STANDING_PER_SLOT: f64 = 0.25;
 /// Load reports that a guard sends in a second, at most, but for changes of phase.
-const REPORT_RATE: f64 = 200.0;
+const REPORT_RATE: f64 = 210.0;
+/// Warnings that the target slowed down that a guard sends in a second, at most.
+const WARNING_RATE: f64 = 7.0;
+/// Warnings that may be saved up.
+const WARNING_BURST: f64 = 16.0;
 /// Load reports that may be saved up.
 const REPORT_BURST: f64 = 20.0;
 
@@ -94,6 +98,7 @@
     out: bool,
     seq: u32,
     reports: Bucket,
+    warnings: Bucket,
     /// The phase of the last report.
     told: Phase,
     /// Limit cuts since the guard opened.
@@ -115,6 +120,7 @@
             out: false,
             seq: 0,
             reports: Bucket::new(REPORT_BURST, REPORT_RATE),
+            warnings: Bucket::new(WARNING_BURST, WARNING_RATE),
             told: Phase::Down,
             cuts: 0,
         }
@@ -394,7 +400,8 @@
         }
         let mut actions = Vec::new();
         for running in self.running.iter_mut().filter(|running| running.is_worked_on()) {
-            if !std::mem::replace(&mut running.warned, true) {
+            let is_new = !std::mem::replace(&mut running.warned, true);
+            if is_new && self.warnings.take(now, 1.0) {
                 actions.push(Action::Slow(running.id));
             }
         }
--- a/crates/policy/src/picker.rs
+++ b/crates/policy/src/picker.rs
@@ -11,12 +11,14 @@
 const SUBSET: usize = 16;
 /// Knowledge older than this is worth a probe, in microseconds.
 const STALE_US: u64 = 50_000;
+/// A report that a target is full is believed for this time, in microseconds.
+const FULL_US: u64 = 200_000;
 /// Knowledge older than this says nothing, in microseconds.
 const FORGET_US: u64 = 2_000_000;
 /// Weight of use in the cost of a target that has room.
 const SPREAD: f64 = 0.6;
 /// How much the room of a cold target counts, since it grows warm only by work.
-const COLD_FAVOUR: f64 = 2.5;
+const COLD_FAVOUR: f64 = 3.0;
 /// Room that a full target is still given when targets are sampled.
 const LEAST_ROOM: f64 = 0.2;
 /// Failures in a row that eject a target.
@@ -136,7 +138,7 @@
     pub fn has_room(&self, now: Time, tried: &[Name]) -> bool {
         let untried = self.known.iter().filter(|known| !tried.contains(&known.route.target));
         let mut open = untried.filter(|known| known.is_open());
-        open.any(|known| known.pending(now) < known.limit())
+        open.any(|known| now.since(known.at) > FULL_US || known.pending(now) < known.limit())
     }
 
     /// Returns a target whose load is worth a probe.
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -13,9 +13,9 @@
 /// A queue is long that has one waiting request for each this many places.
 const LONG_SHARE: usize = 4;
 /// A queue that stands is taken to stand until nothing was refused for this time, in microseconds.
-const RELIEF_US: u64 = 100_000;
+const RELIEF_US: u64 = 500_000;
 /// The longest wait of classes that can wait, in a queue that stands, in microseconds.
-const STANDING_WAIT_US: u64 = 2_000;
+const STANDING_WAIT_US: u64 = 1_200;
 /// The longest wait otherwise, in microseconds.
 const BURST_WAIT_US: u64 = 12_000;
 
@@ -142,6 +142,9 @@
                 false
             });
         }
+        if !gone.is_empty() {
+            self.note_refusal(now);
+        }
         gone
     }
 
--- a/crates/testkit/examples/policy.rs
+++ b/crates/testkit/examples/policy.rs
@@ -2,7 +2,7 @@
 
 use gumdrop::Options;
 use serde_json::json;
-use testkit::mesh::TENANTS;
+use testkit::mesh::{TENANTS, Tenant};
 use testkit::sim::{self, Baseline, CASES, Case, Fleet, Row};
 
 /// The budgets that `--curve` tries, in bytes a second of one node.
@@ -24,6 +24,8 @@
     json: bool,
     #[options(help = "only our own policy", no_short)]
     ours: bool,
+    #[options(help = "figures beside their bounds; exits with 1 where one is broken", no_short)]
+    bounds: bool,
     #[options(help = "a curve of tail latency against the bytes spent on probes", no_short)]
     curve: bool,
 }
@@ -40,6 +42,9 @@
         eprintln!("policy: no case is named {:?}", args.case);
         std::process::exit(2);
     }
+    if args.bounds {
+        std::process::exit(i32::from(!hold(&args, &tenant, &cases)));
+    }
     if !args.json {
         println!(
             "case         seed policy               p50us   p99us  p999us fav99us around99 goodput refused ref99us false overruns falls rewarm90us lastoutus probes/s bytes/s"
@@ -55,6 +60,23 @@
     }
 }
 
+/// Prints each figure beside its bound. Returns whether all hold.
+fn hold(args: &Args, tenant: &Tenant, cases: &[&Case]) -> bool {
+    let mut all = true;
+    for case in cases {
+        for seed in args.seed..args.seed + args.seeds {
+            for bound in sim::check(tenant, case, seed) {
+                let mark = if bound.holds() { "" } else { "  BROKEN" };
+                let word = if bound.at_least { "at least" } else { "at most" };
+                let (figure, limit) = (bound.figure, bound.limit);
+                println!("{} seed {seed}: {figure:.4} / {word} {limit:.4}{mark}", bound.name);
+                all &= bound.holds();
+            }
+        }
+    }
+    all
+}
+
 fn rows(args: &Args, fleet: &Fleet, case: &Case, seed: u64) -> Vec<Row> {
     if args.curve {
         let run = |budget| {
--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -2,12 +2,14 @@
 //! guards and the links between them. No clock, no sockets, the same result on every run.
 
 mod baseline;
+mod bounds;
 mod case;
 mod model;
 mod oracle;
 mod ours;
 mod result;
 
+pub use bounds::{Bound, check};
 pub use baseline::{Baseline, run as run_baseline};
 pub use case::{CASES, Case, Fault, named};
 pub use model::{Arrival, Fleet, TargetModel, Weather};
