--- a/crates/bamboowheel/src/attempt.rs
+++ b/crates/bamboowheel/src/attempt.rs
@@ -108,11 +108,11 @@
         }
         loop {
             let said: Verdict = wire::read(&mut self.receive).await.ok()?;
-            if let Verdict::Head { request: answered, .. } = &said {
-                if *answered != request {
-                    tracing::error!("entry: the answer to {answered:016x} came for {request:016x}");
-                    return None;
-                }
+            if let Verdict::Head { request: answered, .. } = &said
+                && *answered != request
+            {
+                tracing::error!("entry: the answer to {answered:016x} came for {request:016x}");
+                return None;
             }
             let (is_run, is_head) =
                 (matches!(said, Verdict::Run(_)), matches!(said, Verdict::Head { .. }));
--- a/crates/bamboowheel/src/dispatch.rs
+++ b/crates/bamboowheel/src/dispatch.rs
@@ -227,12 +227,16 @@
         Passed::Whole => {
             admitted.place.outcome = Outcome::Answered;
             suspicion::answered(node, call);
-            held.map(|held| held.finish(kept.state()));
+            if let Some(held) = held {
+                held.finish(kept.state())
+            }
             let _ = events.send(Event::End).await;
         }
         Passed::Cut => {
             admitted.place.outcome = Outcome::Broken;
-            held.map(|held| held.finish(OnceState::Lost));
+            if let Some(held) = held {
+                held.finish(OnceState::Lost)
+            }
             suspicion::broke(node, call).await;
             let (code, load) = (Code::AnswerCut, node.gate.report(node.now()));
             let _ = events.send(Event::Said(Verdict::Failed { code, not_run: false, load })).await;
--- a/crates/bamboowheel/src/ledger.rs
+++ b/crates/bamboowheel/src/ledger.rs
@@ -78,12 +78,12 @@
 async fn commit(table: &Dynamo, mut group: Vec<Waiting>) -> Vec<Waiting> {
     let writes = group.iter().map(|(write, _)| write.clone()).collect();
     let result = table.write(writes).await;
-    if let Err(Error::Conflict { at }) = result {
-        if at < group.len() {
-            let (_, sender) = group.remove(at);
-            let _ = sender.send(Err(Error::Conflict { at: 0 }));
-            return group;
-        }
+    if let Err(Error::Conflict { at }) = result
+        && at < group.len()
+    {
+        let (_, sender) = group.remove(at);
+        let _ = sender.send(Err(Error::Conflict { at: 0 }));
+        return group;
     }
     for (_, sender) in group {
         let _ = sender.send(result.clone());
--- a/crates/bamboowheel/src/node.rs
+++ b/crates/bamboowheel/src/node.rs
@@ -275,10 +275,10 @@
 
     fn member_event(&self, code: Code, name: Name) {
         tracing::info!("members: {name}: {}", code.text());
-        if code == Code::MemberDead {
-            if let Some(address) = self.address_of(&name) {
-                self.links.close(address);
-            }
+        if code == Code::MemberDead
+            && let Some(address) = self.address_of(&name)
+        {
+            self.links.close(address);
         }
         self.note(code, name, None);
     }
--- a/crates/bamboowheelctl/src/change.rs
+++ b/crates/bamboowheelctl/src/change.rs
@@ -65,37 +65,31 @@
     for _ in 0..SETTLES {
         match table.write(writes(old, config)).await {
             Ok(()) => return Ok(Swapped::Done),
-            Err(platform::Error::Conflict { .. }) => {
-                // A write in doubt that took effect is found here, and one that did not can no
-                // longer do so, since the version has moved on.
-                let now = read_surely(table).await?;
-                return Ok(
-                    match now.version >= config.version && was_mine(table, config).await? {
-                        true => Swapped::Done,
-                        false => Swapped::Lost(now),
-                    },
-                );
-            }
             Err(source @ platform::Error::Unavailable { .. }) if !in_doubt => {
                 return Err(Error::Store { source });
             }
-            Err(platform::Error::Unavailable { .. }) => {}
             Err(platform::Error::Unknown { .. }) => in_doubt = true,
+            Err(_) => {}
+        }
+        if let Ok(Some(swapped)) = settle(table, config).await {
+            return Ok(swapped);
         }
         tokio::time::sleep(SETTLE_WAIT).await;
     }
     StoreUnknownSnafu { change: config.change.to_string() }.fail()
 }
 
-async fn read_surely<T: Table>(table: &T) -> Result<Config, Error> {
-    let mut tries = 0;
-    loop {
-        match current(table).await {
-            Err(_) if tries < SETTLES => tries += 1,
-            result => return result,
-        }
-        tokio::time::sleep(SETTLE_WAIT).await;
+/// Reads back who won, where the version has moved on. Then a write in doubt that has not taken
+/// effect can no longer do so.
+async fn settle<T: Table>(table: &T, config: &Config) -> Result<Option<Swapped>, Error> {
+    let now = current(table).await?;
+    if now.version < config.version {
+        return Ok(None);
     }
+    Ok(Some(match was_mine(table, config).await? {
+        true => Swapped::Done,
+        false => Swapped::Lost(now),
+    }))
 }
 
 /// Whether the history holds this very change at its version.
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -77,7 +77,7 @@
 
 impl From<Load> for [u8; 4] {
     fn from(load: Load) -> [u8; 4] {
-        [(load.phase as u8) << 6 | load.seq % SEQS, load.limit, load.pending, load.pace]
+        [((load.phase as u8) << 6) | (load.seq % SEQS), load.limit, load.pending, load.pace]
     }
 }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -8,14 +8,14 @@
 
 /// Every this many starts take the oldest waiting request, whatever its class, so that none starves.
 const FAIR_SHARE: u32 = 10;
-/// A queue that is long for this time stands, in microseconds: this is no burst.
+/// A queue that was long and is not empty for this time stands, in microseconds: this is no burst.
 const STANDING_US: u64 = 250_000;
 /// A queue is long that has one waiting request for each this many places.
 const LONG_SHARE: usize = 4;
 /// A queue that stands is taken to stand until nothing was refused for this time, in microseconds.
-const RELIEF_US: u64 = 500_000;
+const RELIEF_US: u64 = 3_000_000;
 /// The longest wait of classes that can wait, in a queue that stands, in microseconds.
-const STANDING_WAIT_US: u64 = 1_200;
+const STANDING_WAIT_US: u64 = 1_250;
 /// The longest wait otherwise, in microseconds.
 const BURST_WAIT_US: u64 = 12_000;
 
@@ -52,10 +52,11 @@
 
     /// Works out anew whether the queue stands, in front of `places` at the target.
     pub fn observe(&mut self, now: Time, places: usize) {
-        if self.len() < (places / LONG_SHARE).max(1) {
-            self.long = None;
-        } else if now.since(*self.long.get_or_insert(now)) > STANDING_US {
-            self.refused = Some(now);
+        match self.long {
+            _ if self.is_empty() => self.long = None,
+            None if self.len() >= (places / LONG_SHARE).max(1) => self.long = Some(now),
+            Some(long) if now.since(long) > STANDING_US => self.refused = Some(now),
+            _ => {}
         }
         if self.refused.is_some_and(|refused| now.since(refused) > RELIEF_US) {
             self.refused = None;
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -167,10 +167,10 @@
 
     /// Takes in that a peer saw an answer to a suspect.
     pub fn cleared(&mut self, print: Fingerprint) {
-        if let Ok(at) = self.find(print) {
-            if !self.records[at].suspicion.convicted {
-                self.records.remove(at);
-            }
+        if let Ok(at) = self.find(print)
+            && !self.records[at].suspicion.convicted
+        {
+            self.records.remove(at);
         }
     }
 
--- /dev/null
+++ b/crates/policy/tests/guard.rs
@@ -0,0 +1,348 @@
+//! The guard: limits, cold starts, the queue, leaving.
+
+use policy::{Action, Guard, Offer, Outcome, Phase, Settings, Time};
+use proptest::prelude::*;
+use world::{Announcement, Class, Code, TargetState};
+
+const SETTINGS: Settings = Settings { cold_slots: 2, warm_answers: 4 };
+const SERVICE_US: u64 = 5_000;
+
+fn announcement(incarnation: u64, state: TargetState) -> Announcement {
+    Announcement {
+        service: "listings".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        slots: 12,
+        incarnation,
+        state,
+        running: 0,
+    }
+}
+
+fn guard() -> Guard {
+    let mut guard = Guard::new(Time(0), SETTINGS);
+    guard.announced(Time(0), announcement(1, TargetState::Warm));
+    guard
+}
+
+fn offer(id: u64, class: Class) -> Offer {
+    Offer { id, class, deadline: Time(60_000_000), spare: false }
+}
+
+/// Runs one request to its answer.
+fn answer(guard: &mut Guard, id: u64, at: u64) -> u64 {
+    assert_eq!(guard.offer(Time(at), offer(id, Class::Normal)), [Action::Run(id)]);
+    guard.received(Time(at), id);
+    let done = at + SERVICE_US;
+    guard.headed(Time(done), id, true);
+    guard.done(Time(done), id, Outcome::Answered);
+    done
+}
+
+/// Answers requests until the target is warm.
+fn warm(guard: &mut Guard) -> u64 {
+    let mut at = 0;
+    for id in 0..40 {
+        at = answer(guard, id, at);
+        guard.announced(Time(at), announcement(1, TargetState::Warm));
+    }
+    assert_eq!(guard.phase(), Phase::Warm);
+    at
+}
+
+#[test]
+fn a_cold_target_gets_one_more_for_each_few_answers() {
+    let mut guard = guard();
+    let mut at = 0;
+    for id in 0..40 {
+        let limit = u64::from(guard.load().limit);
+        assert_eq!(limit, 2 + id / 4, "after {id} answers");
+        at = answer(&mut guard, id, at);
+    }
+    assert_eq!((guard.load().limit, guard.phase()), (12, Phase::Warm));
+}
+
+struct Sign {
+    what: &'static str,
+    give: fn(&mut Guard, Time),
+}
+
+#[test]
+fn the_first_sign_of_a_fall_cuts_the_limit_before_the_next_dispatch() {
+    let signs = [
+        Sign {
+            what: "shed",
+            give: |guard, now| {
+                guard.done(now, 100, Outcome::Shed);
+            },
+        },
+        Sign {
+            what: "broken",
+            give: |guard, now| {
+                guard.done(now, 100, Outcome::Broken);
+            },
+        },
+        Sign {
+            what: "a new start",
+            give: |guard, now| {
+                guard.announced(now, announcement(2, TargetState::Warm));
+            },
+        },
+        Sign {
+            what: "its own word",
+            give: |guard, now| {
+                guard.announced(now, announcement(1, TargetState::Cold));
+            },
+        },
+    ];
+    for sign in signs {
+        let mut guard = guard();
+        let at = warm(&mut guard);
+        for id in 100..106 {
+            assert_eq!(guard.offer(Time(at), offer(id, Class::Normal)), [Action::Run(id)]);
+        }
+        (sign.give)(&mut guard, Time(at + 1));
+        assert_eq!((guard.load().limit, guard.phase()), (2, Phase::Cold), "{}", sign.what);
+        let next = guard.offer(Time(at + 2), offer(200, Class::Normal));
+        assert!(!next.contains(&Action::Run(200)), "{}", sign.what);
+    }
+}
+
+#[test]
+fn a_target_that_slows_down_is_found_by_missing_answers() {
+    let mut guard = guard();
+    let at = warm(&mut guard);
+    for id in 100..110 {
+        guard.offer(Time(at), offer(id, Class::Normal));
+        guard.received(Time(at), id);
+    }
+    let actions = guard.tick(Time(at + 2_000));
+    assert!(actions.is_empty(), "ten answers are due within 5 ms, none is late after 2");
+    let actions = guard.tick(Time(at + 12_000));
+    let warned = actions.iter().filter(|action| matches!(action, Action::Slow(_))).count();
+    assert_eq!((warned, guard.load().limit), (10, 2));
+    assert!(guard.tick(Time(at + 40_000)).is_empty(), "an entry is warned once");
+}
+
+#[test]
+fn an_old_answer_is_no_evidence() {
+    let mut guard = guard();
+    let at = warm(&mut guard);
+    for id in 100..112 {
+        guard.offer(Time(at), offer(id, Class::Normal));
+        guard.received(Time(at), id);
+    }
+    guard.done(Time(at + 10), 100, Outcome::Shed);
+    for id in 101..112 {
+        guard.headed(Time(at + SERVICE_US), id, true);
+        guard.done(Time(at + SERVICE_US), id, Outcome::Answered);
+    }
+    assert_eq!(guard.load().limit, 2, "requests begun before the cut do not warm the target");
+}
+
+#[test]
+fn uploads_on_their_way_are_not_slow() {
+    let mut guard = guard();
+    let at = warm(&mut guard);
+    for id in 100..110 {
+        guard.offer(Time(at), offer(id, Class::Bulk));
+    }
+    for ms in 1..500 {
+        guard.announced(Time(at + ms * 1_000), announcement(1, TargetState::Warm));
+        assert!(guard.tick(Time(at + ms * 1_000)).is_empty(), "their bodies still come");
+    }
+    assert_eq!(guard.load().limit, 12);
+}
+
+#[test]
+fn classes_are_served_in_order_and_none_starves() {
+    let mut guard = guard();
+    answer(&mut guard, 1, 0);
+    for id in [10, 11] {
+        guard.offer(Time(6_000), offer(id, Class::Normal));
+    }
+    guard.offer(Time(6_000), offer(20, Class::Bulk));
+    guard.offer(Time(6_000), offer(21, Class::Normal));
+    guard.offer(Time(6_000), offer(22, Class::Internal));
+    let next = guard.done(Time(6_001), 10, Outcome::Answered);
+    assert_eq!(next, [Action::Run(22)], "checks first");
+    let next = guard.done(Time(6_002), 11, Outcome::Answered);
+    assert_eq!(next, [Action::Run(21)]);
+}
+
+#[test]
+fn a_full_queue_gives_way_to_what_matters_more() {
+    let mut guard = guard();
+    answer(&mut guard, 1, 0);
+    let mut refused = Vec::new();
+    for id in 10..20 {
+        refused.extend(guard.offer(Time(6_000), offer(id, Class::Bulk)));
+    }
+    let actions = guard.offer(Time(6_001), offer(50, Class::Favoured));
+    let evicted = actions.iter().any(|action| matches!(action, Action::Refuse(id, _) if *id < 20));
+    assert!(evicted, "{actions:?}");
+    assert!(!actions.contains(&Action::Refuse(50, Code::TargetBusy)));
+}
+
+struct Leaving {
+    what: &'static str,
+    leave: fn(&mut Guard) -> Vec<Action>,
+    code: Code,
+}
+
+#[test]
+fn whoever_leaves_takes_nothing_new_and_finishes_the_rest() {
+    let cases = [
+        Leaving { what: "drain", leave: |guard| guard.drain(), code: Code::ShuttingDown },
+        Leaving {
+            what: "out",
+            leave: |guard| guard.set_out(Time(6_000), true),
+            code: Code::OutOfService,
+        },
+        Leaving {
+            what: "target drains",
+            leave: |guard| {
+                guard.announced(Time(6_000), announcement(1, TargetState::Draining));
+                Vec::new()
+            },
+            code: Code::OutOfService,
+        },
+        Leaving { what: "target gone", leave: |guard| guard.died(), code: Code::NoTarget },
+    ];
+    for case in cases {
+        let mut guard = guard();
+        answer(&mut guard, 1, 0);
+        guard.offer(Time(5_500), offer(2, Class::Bulk));
+        (case.leave)(&mut guard);
+        let refused = guard.offer(Time(6_001), offer(3, Class::Normal));
+        assert_eq!(refused, [Action::Refuse(3, case.code)], "{}", case.what);
+        assert_eq!(guard.pending(), 1, "{}: the upload goes on", case.what);
+        guard.done(Time(9_000_000), 2, Outcome::Answered);
+        assert_eq!(guard.pending(), 0, "{}", case.what);
+    }
+}
+
+#[test]
+fn a_data_centre_that_returns_ramps_as_if_cold() {
+    let mut guard = guard();
+    let at = warm(&mut guard);
+    guard.set_out(Time(at), true);
+    guard.set_out(Time(at + 1), true);
+    guard.set_out(Time(at + 2), false);
+    assert_eq!((guard.load().limit, guard.phase()), (2, Phase::Cold));
+}
+
+#[test]
+fn a_silent_target_is_taken_for_dead() {
+    let mut guard = guard();
+    answer(&mut guard, 1, 0);
+    guard.tick(Time(3_500_000));
+    assert_eq!(guard.phase(), Phase::Down);
+    assert!(guard.announced(Time(3_600_000), announcement(1, TargetState::Warm)));
+    assert_eq!(guard.phase(), Phase::Cold, "and is cold when it is heard of again");
+}
+
+#[test]
+fn an_older_life_of_the_target_is_not_believed() {
+    let mut guard = guard();
+    guard.announced(Time(1), announcement(5, TargetState::Warm));
+    assert!(!guard.announced(Time(2), announcement(4, TargetState::Draining)));
+    assert_eq!(guard.phase(), Phase::Cold);
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Offer(Class),
+    Answer(usize),
+    Shed(usize),
+    Cancel(usize),
+    Withdraw(u64),
+    Wait(u64),
+    Announce(u64),
+    Out(bool),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        8 => (0..4usize).prop_map(|at| Event::Offer(Class::ALL[at])),
+        8 => any::<usize>().prop_map(Event::Answer),
+        1 => any::<usize>().prop_map(Event::Shed),
+        1 => any::<usize>().prop_map(Event::Cancel),
+        1 => (0..200u64).prop_map(Event::Withdraw),
+        6 => (0..20_000u64).prop_map(Event::Wait),
+        1 => (1..4u64).prop_map(Event::Announce),
+        1 => any::<bool>().prop_map(Event::Out),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Whatever comes: every request is decided once, never more run than the limit at a dispatch,
+    /// and never more than the slots.
+    #[test]
+    fn the_counter_is_never_overrun(events in prop::collection::vec(event(), 1..300)) {
+        let mut guard = guard();
+        let mut now = 0;
+        let mut next = 0;
+        let mut running: Vec<u64> = Vec::new();
+        let mut decided: Vec<u64> = Vec::new();
+        for event in events {
+            let time = Time(now);
+            let actions = match event {
+                Event::Offer(class) => {
+                    next += 1;
+                    guard.offer(time, offer(next, class))
+                }
+                Event::Answer(at) if !running.is_empty() => {
+                    let id = running.remove(at % running.len());
+                    guard.received(time, id);
+                    guard.headed(time, id, true);
+                    guard.done(time, id, Outcome::Answered)
+                }
+                Event::Shed(at) if !running.is_empty() => {
+                    let id = running.remove(at % running.len());
+                    guard.done(time, id, Outcome::Shed)
+                }
+                Event::Cancel(at) if !running.is_empty() => {
+                    let id = running.remove(at % running.len());
+                    guard.done(time, id, Outcome::Cancelled)
+                }
+                Event::Withdraw(id) => {
+                    if guard.withdraw(id) {
+                        decided.push(id);
+                    }
+                    Vec::new()
+                }
+                Event::Wait(us) => {
+                    now += us;
+                    guard.tick(Time(now))
+                }
+                Event::Announce(incarnation) => {
+                    guard.announced(time, announcement(incarnation, TargetState::Warm));
+                    Vec::new()
+                }
+                Event::Out(out) => guard.set_out(time, out),
+                _ => Vec::new(),
+            };
+            let before = running.len();
+            for action in &actions {
+                match action {
+                    Action::Run(id) => {
+                        running.push(*id);
+                        decided.push(*id);
+                    }
+                    Action::Refuse(id, _) => decided.push(*id),
+                    Action::Slow(id) => prop_assert!(running.contains(id)),
+                }
+            }
+            if running.len() > before {
+                prop_assert!(running.len() <= usize::from(guard.load().limit));
+            }
+            prop_assert!(running.len() <= 12);
+            let mut unique = decided.clone();
+            unique.sort_unstable();
+            unique.dedup();
+            prop_assert_eq!(unique.len(), decided.len(), "a request was decided twice");
+        }
+    }
+}
--- a/crates/testkit/examples/policy.rs
+++ b/crates/testkit/examples/policy.rs
@@ -2,7 +2,7 @@
 
 use gumdrop::Options;
 use serde_json::json;
-use testkit::mesh::{TENANTS, Tenant};
+use testkit::mesh::{Tenant, tenant};
 use testkit::sim::{self, Baseline, CASES, Case, Fleet, Row};
 
 /// The budgets that `--curve` tries, in bytes a second of one node.
@@ -32,7 +32,7 @@
 
 fn main() {
     let args = Args::parse_args_default_or_exit();
-    let Some(tenant) = TENANTS.into_iter().find(|tenant| tenant.name == args.tenant) else {
+    let Some(tenant) = tenant(&args.tenant) else {
         eprintln!("policy: the tenant is riddim or kaiviti");
         std::process::exit(2);
     };
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod mesh;
 pub mod report;
 pub mod sim;
+pub mod soak;
 pub mod table;
 pub mod target;
--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -9,8 +9,8 @@
 mod ours;
 mod result;
 
-pub use bounds::{Bound, check};
 pub use baseline::{Baseline, run as run_baseline};
+pub use bounds::{Bound, check};
 pub use case::{CASES, Case, Fault, named};
 pub use model::{Arrival, Fleet, TargetModel, Weather};
 pub use oracle::run as run_oracle;
--- a/crates/testkit/src/sim/ours.rs
+++ b/crates/testkit/src/sim/ours.rs
@@ -267,7 +267,7 @@
     fn handle(&mut self, now: u64, event: Event) {
         match event {
             Event::AtGuard(attempt) => self.at_guard(now, attempt),
-            Event::ToEntry(attempt) => self.to_entry(now, attempt),
+            Event::ToEntry(attempt) => self.at_entry(now, attempt),
             Event::Cancel(attempt) => self.cancel(now, attempt),
             Event::Done(target, attempt) => self.done(now, target, attempt),
             Event::Fall(target) => self.fall(now, target),
@@ -409,7 +409,7 @@
         self.push(back, Event::ToEntry(attempt));
     }
 
-    fn to_entry(&mut self, now: u64, attempt: usize) {
+    fn at_entry(&mut self, now: u64, attempt: usize) {
         let note = self.attempts[attempt].notes.remove(0);
         let Attempt { request, target, open, .. } = self.attempts[attempt];
         let name = self.names[target].clone();
