--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod soak;
 pub mod table;
 pub mod target;
+pub mod scenario;
