--- a/crates/bamboowheel/src/admin.rs
+++ b/crates/bamboowheel/src/admin.rs
@@ -82,7 +82,7 @@
         (versions.config().version, versions.seen())
     };
     let members: Vec<_> = lock(&node.members).others().cloned().collect();
-    let (_, cuts) = node.gate.counts();
+    let cuts = node.gate.cuts();
     let status = json!({
         "name": node.settings.name,
         "data_centre": node.settings.data_centre,
--- a/crates/bamboowheel/src/gate.rs
+++ b/crates/bamboowheel/src/gate.rs
@@ -109,9 +109,19 @@
         self.with(|guard| (guard.target().cloned(), Vec::new()))
     }
 
-    /// Returns how many requests run and wait, and how often the limit was cut.
-    pub fn counts(&self) -> (usize, u64) {
-        self.with(|guard| ((guard.pending(), guard.cuts()), Vec::new()))
+    /// Returns how many requests run or wait.
+    pub fn pending(&self) -> usize {
+        self.with(|guard| (guard.pending(), Vec::new()))
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.with(|guard| (guard.waiting(), Vec::new()))
+    }
+
+    /// Returns how often the limit was cut.
+    pub fn cuts(&self) -> u64 {
+        self.with(|guard| (guard.cuts(), Vec::new()))
     }
 
     /// Notes that the target has the whole body of a request.
@@ -318,12 +328,23 @@
 
 /// Ticks the guard, and tells the others when the target comes or goes.
 pub async fn tick(node: Arc<Node>) {
-    const EVERY: Duration = Duration::from_millis(2);
+    const WAITING: Duration = Duration::from_millis(2);
+    const RUNNING: Duration = Duration::from_millis(10);
     const IDLE: Duration = Duration::from_millis(50);
     let mut was: Option<Name> = None;
+    let mut cuts_before = 0;
     loop {
-        let (pending, _) = node.gate.counts();
-        tokio::time::sleep(if pending > 0 { EVERY } else { IDLE }).await;
+        let cuts = node.gate.cuts();
+        if cuts > cuts_before {
+            node.note(Code::LimitCut, was.as_deref().unwrap_or_default(), None);
+            cuts_before = cuts;
+        }
+        let pause = match (node.gate.waiting(), node.gate.pending()) {
+            (0, 0) => IDLE,
+            (0, _) => RUNNING,
+            _ => WAITING,
+        };
+        tokio::time::sleep(pause).await;
         node.gate.tick(node.now());
         let service = node.gate.target().map(|target| target.service);
         if service == was {
--- a/crates/bamboowheel/src/metrics.rs
+++ b/crates/bamboowheel/src/metrics.rs
@@ -7,7 +7,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 use world::{Class, Code};
 
 /// Upper bounds of latency buckets, in seconds.
@@ -66,32 +66,34 @@
     fn default() -> Metrics {
         let mut registry = Registry::with_prefix("bamboowheel");
         let latency = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
-        let metrics = Metrics {
+        registry.register("call_seconds", "Time until the answer began", latency.clone());
+        let mut register = Registration { registry: &mut registry };
+        Metrics {
             latency,
-            results: Family::default(),
-            decisions: Family::default(),
-            control_bytes: Counter::default(),
-            control_messages: Counter::default(),
-            store_calls: Counter::default(),
-            pending: Gauge::default(),
-            limit: Gauge::default(),
-            version: Gauge::default(),
-            members: Gauge::default(),
-            registry: Registry::default(),
-        };
-        registry.register("call_seconds", "Time until the answer began", metrics.latency.clone());
-        registry.register("results", "Refusals and failures by code", metrics.results.clone());
-        registry.register("decisions", "Decisions by code", metrics.decisions.clone());
-        let bytes = metrics.control_bytes.clone();
-        registry.register("control_bytes", "Bytes of control messages sent", bytes);
-        let messages = metrics.control_messages.clone();
-        registry.register("control_messages", "Control messages sent", messages);
-        registry.register("store_calls", "Calls to the table service", metrics.store_calls.clone());
-        registry.register("pending", "Requests that run or wait", metrics.pending.clone());
-        registry.register("limit", "The target's limit", metrics.limit.clone());
-        registry.register("config_version", "Version in force", metrics.version.clone());
-        registry.register("members", "Other nodes that are up", metrics.members.clone());
-        Metrics { registry, ..metrics }
+            results: register.add("results", "Refusals and failures by code"),
+            decisions: register.add("decisions", "Decisions by code"),
+            control_bytes: register.add("control_bytes", "Bytes of control messages sent"),
+            control_messages: register.add("control_messages", "Control messages sent"),
+            store_calls: register.add("store_calls", "Calls to the table service"),
+            pending: register.add("pending", "Requests that run or wait"),
+            limit: register.add("limit", "The target's limit"),
+            version: register.add("config_version", "Version in force"),
+            members: register.add("members", "Other nodes that are up"),
+            registry,
+        }
+    }
+}
+
+struct Registration<'r> {
+    registry: &'r mut Registry,
+}
+
+impl Registration<'_> {
+    /// Registers a new metric and returns it.
+    fn add<M: Metric + Clone + Default>(&mut self, name: &str, help: &str) -> M {
+        let metric = M::default();
+        self.registry.register(name, help, metric.clone());
+        metric
     }
 }
 
--- a/crates/bamboowheel/src/node.rs
+++ b/crates/bamboowheel/src/node.rs
@@ -259,6 +259,7 @@
                 MemberAction::Sync(_, address) => {
                     self.spawn(crate::gossip::sync(self.clone(), address));
                 }
+                MemberAction::Restarted(address) => self.links.close(address),
                 MemberAction::Event(code, name) => self.member_event(code, name),
                 MemberAction::Changed => changed = true,
             }
--- a/crates/policy/src/guard.rs
+++ b/crates/policy/src/guard.rs
@@ -146,6 +146,11 @@
         self.running.len() + self.queue.len()
     }
 
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Returns how often the limit was cut.
     pub fn cuts(&self) -> u64 {
         self.cuts
@@ -245,7 +250,8 @@
         self.queue.remove(id)
     }
 
-    /// Does what is due by time alone. To be called every few milliseconds while work is pending.
+    /// Does what is due by time alone. To be called every 2 ms while
+    /// requests wait, and every 10 ms while any runs.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         if self.target.is_some() && now.since(self.heard) > SILENCE_US {
             return self.died();
--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -5,15 +5,12 @@
 //! probes only its fingers: the members 1, 2, 4, 8 ... places after it in the order of names. So it
 //! holds few links, and news reaches every node in as many hops as the number of fingers.
 
-use std::net::SocketAddr;
-
-use derive_more::Display;
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use world::{Code, Name};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Time;
+use crate::member::{Health, Member, MemberAction, Message, Probe};
 
 /// Time between two probes of one node, in microseconds.
 const PROBE_US: u64 = 1_000_000;
@@ -44,98 +41,6 @@
 /// Fingers that are told of urgent news at once.
 const URGENT: usize = 16;
 
-/// What is known of a member's life.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-#[display(rename_all = "lowercase")]
-pub enum Health {
-    /// It answers.
-    Alive,
-    /// It did not answer, and may refute that.
-    Suspect,
-    /// It did not refute in time.
-    Dead,
-    /// It said goodbye.
-    Left,
-}
-
-/// A node as others know it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Member {
-    /// Unique among nodes; a restarted node keeps it.
-    pub name: Name,
-    /// Its data centre.
-    pub data_centre: Name,
-    /// Where its links are accepted.
-    pub address: SocketAddr,
-    /// The service of its target, while one is up.
-    pub service: Option<Name>,
-    /// When its process started, in milliseconds since 1970; tells one life from the next.
-    pub started: u64,
-    /// Grows with each change that the member itself makes, restarts among them.
-    pub incarnation: u64,
-    /// What is known of its life.
-    pub health: Health,
-}
-
-impl Member {
-    fn beats(&self, known: &Member) -> bool {
-        (self.incarnation, self.health) > (known.incarnation, known.health)
-    }
-
-    fn is_up(&self) -> bool {
-        self.health <= Health::Suspect
-    }
-
-    fn digest(&self) -> u64 {
-        let life = self.incarnation.rotate_left(8) ^ self.health as u64;
-        xxh3_64(self.name.as_bytes()) ^ life.wrapping_mul(0x9E37_79B9_7F4A_7C15)
-    }
-}
-
-/// What a membership message is for.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Probe {
-    /// Asks for an answer.
-    Ping,
-    /// Answers.
-    Ack,
-    /// Asks to ping another member in the sender's place.
-    Ask(Name),
-    /// Says that the other member answered.
-    Relayed(Name),
-    /// Carries news only.
-    News,
-}
-
-/// A message between two members.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Message {
-    /// What it is for.
-    pub probe: Probe,
-    /// The sender as it knows itself.
-    pub from: Member,
-    /// Over all members that the sender knows.
-    pub digest: u64,
-    /// The version of the sender's configuration.
-    pub version: u64,
-    /// News of others, at most `NEWS`.
-    pub news: Vec<Member>,
-}
-
-/// What the owner must do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum MemberAction {
-    /// Send this message to a member.
-    Send(Name, SocketAddr, Message),
-    /// Exchange whole lists with a member.
-    Sync(Name, SocketAddr),
-    /// Note this event about a member.
-    Event(Code, Name),
-    /// The list changed; routes must be worked out again.
-    Changed,
-}
-
 #[derive(Clone, Debug)]
 struct Record {
     member: Member,
@@ -441,6 +346,9 @@
         match self.find(&member.name) {
             Ok(at) if member.beats(&self.records[at].member) => {
                 let was = self.records[at].member.health;
+                if member.started > self.records[at].member.started {
+                    self.actions.push(MemberAction::Restarted(member.address));
+                }
                 self.note(was, &member);
                 let since = if was == member.health { self.records[at].since } else { now };
                 self.records[at] = Record { member, since, sends };
--- a/crates/policy/tests/members.rs
+++ b/crates/policy/tests/members.rs
@@ -21,6 +21,8 @@
     now: u64,
     rng: SmallRng,
     sent: u64,
+    /// Links that were closed because the peer has a new life.
+    restarts: usize,
 }
 
 fn name(at: usize) -> Name {
@@ -55,6 +57,7 @@
             now: 0,
             rng: SmallRng::seed_from_u64(1),
             sent: 0,
+            restarts: 0,
         }
     }
 
@@ -67,6 +70,7 @@
                     self.flying.push((self.now + LINK_US, from, to, message));
                 }
                 MemberAction::Sync(_, address) => self.sync(from, usize::from(address.port()) - 1),
+                MemberAction::Restarted(_) => self.restarts += 1,
                 MemberAction::Event(..) | MemberAction::Changed => {}
             }
         }
@@ -137,6 +141,18 @@
     assert!(seen.started == 1_000 && seen.incarnation >= 1_000);
 }
 
+#[test]
+fn a_node_that_restarts_sooner_than_it_is_missed_has_its_old_links_closed() {
+    let mut nodes = Nodes::open(13);
+    nodes.run(10);
+    nodes.nodes[5] = Members::new(Time(nodes.now), member(5, 1_000));
+    let actions = nodes.nodes[5].merge(Time(nodes.now), vec![member(0, 1)]);
+    nodes.act(5, actions);
+    nodes.sync(5, 0);
+    nodes.run(10);
+    assert_eq!(nodes.restarts, 12, "once at every other node");
+}
+
 #[test]
 fn a_node_that_leaves_is_gone_at_once() {
     let mut nodes = Nodes::open(13);
--- a/crates/testkit/src/scenario/run.rs
+++ b/crates/testkit/src/scenario/run.rs
@@ -252,7 +252,8 @@
 
     fn no_work(&self, name: &str) -> Result<(), String> {
         let vms = self.mesh.vms.iter().filter(|vm| vm.data_centre == name);
-        let late = vms.flat_map(|vm| report::runs(&vm.runs)).filter(|run| run.time_us > self.mark_us);
+        let late =
+            vms.flat_map(|vm| report::runs(&vm.runs)).filter(|run| run.time_us > self.mark_us);
         let count = late.count();
         hold(count == 0, format!("{count} requests began in {name}"))
     }
--- a/crates/world/src/inventory.rs
+++ b/crates/world/src/inventory.rs
@@ -202,7 +202,8 @@
     pub(crate) fn index(&mut self) {
         self.by_route = (0..self.services.len()).collect();
         let services = &self.services;
-        self.by_route.sort_by(|a, b| trimmed(&services[*a].route).cmp(trimmed(&services[*b].route)));
+        self.by_route
+            .sort_by(|a, b| trimmed(&services[*a].route).cmp(trimmed(&services[*b].route)));
     }
 
     /// Returns the round trip between two data centres in microseconds.
