Uploads wait for room, and a target that lost its pace warms up by its contract

An entry now tries what can wait again every 20 ms until its deadline, but never after a refusal for overload.

--- a/crates/bamboowheel/src/node.rs
+++ b/crates/bamboowheel/src/node.rs
@@ -209,6 +209,7 @@
             *self.inventory.write().unwrap_or_else(PoisonError::into_inner) = inventory.clone();
         }
         tracing::info!("config: version {version} is in force");
+        self.compare(&inventory);
         self.note(Code::ConfigApplied, version, None);
         self.metrics.version.set(version);
         self.gate.configure(self, &inventory);
@@ -221,6 +222,18 @@
         self.act(told);
     }
 
+    /// Warns where the inventory says something else of this VM than the settings do.
+    fn compare(&self, inventory: &Inventory) {
+        let Settings { name, data_centre, .. } = &self.settings;
+        match inventory.vm(name) {
+            None => tracing::warn!("config: the inventory has no VM {name}"),
+            Some(vm) if vm.data_centre != *data_centre => {
+                tracing::warn!("config: the inventory has {name} in {}", vm.data_centre);
+            }
+            Some(_) => {}
+        }
+    }
+
     /// Works the routes of every service out anew, from the members and the inventory.
     pub fn reroute(&self) {
         let inventory = self.inventory();
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -10,6 +10,8 @@
 const ATTEMPTS: usize = 6;
 /// Automatic repeats after a target failed while it ran the request.
 const REPEATS: u32 = 1;
+/// What can wait is tried again after this time where no target had room, in microseconds.
+const RESUME_US: u64 = 20_000;
 /// A guard that says nothing for this long is doubted, in microseconds.
 const SILENT_US: u64 = 150_000;
 
@@ -81,6 +83,8 @@
     hedge_at: Time,
     /// Whether a target died under the request.
     crashed: bool,
+    /// When a call that found no room is tried again; `Time::NEVER` while it is not paused.
+    resume_at: Time,
     /// The time to the answer that was left when the body began to flow, in microseconds.
     left_us: u64,
 }
@@ -95,6 +99,7 @@
             repeats: 0,
             hedge_at: Time::NEVER,
             crashed: false,
+            resume_at: Time::NEVER,
             left_us: 0,
         }
     }
@@ -174,11 +179,25 @@
             return Step::Wait(self.due());
         }
         match self.may_repeat(end) {
-            true => self.again(now, entry, rng, code),
+            true => {
+                let step = self.again(now, entry, rng, code);
+                self.or_pause(now, step)
+            }
             false => Step::GiveUp(code, !self.may_have_run),
         }
     }
 
+    /// Puts a call that can wait off for a while, where every target was only busy just now.
+    fn or_pause(&mut self, now: Time, step: Step) -> Step {
+        let busy = matches!(step, Step::GiveUp(Code::TargetBusy | Code::TargetRefused, true));
+        let resume_at = now.after(RESUME_US);
+        if !busy || self.ask.class != Class::Bulk || resume_at >= self.ask.deadline {
+            return step;
+        }
+        self.resume_at = resume_at;
+        Step::Wait(self.due())
+    }
+
     /// Does what is due by time alone.
     pub fn timer(&mut self, now: Time, entry: &mut Entry, rng: &mut impl Rng) -> Step {
         if now >= self.ask.deadline {
@@ -189,6 +208,11 @@
             }
             return Step::GiveUp(Code::DeadlinePassed, !self.may_have_run);
         }
+        if now >= self.resume_at {
+            self.resume_at = Time::NEVER;
+            self.tried.clear();
+            return self.send(now, entry, rng, Code::TargetBusy);
+        }
         let silent = self.doubt_silent(now, entry);
         let hedge = now >= self.hedge_at;
         if hedge {
@@ -215,7 +239,8 @@
     pub fn due(&self) -> Time {
         let silent = self.open.iter().filter(|open| !open.heard && !open.doubted);
         let silent = silent.map(|open| open.sent.after(SILENT_US));
-        silent.min().unwrap_or(Time::NEVER).min(self.hedge_at).min(self.ask.deadline)
+        let due = silent.min().unwrap_or(Time::NEVER).min(self.resume_at);
+        due.min(self.hedge_at).min(self.ask.deadline)
     }
 
     /// Holds the silence of guards against them. Returns whether any has just become silent.
--- a/crates/policy/src/guard.rs
+++ b/crates/policy/src/guard.rs
@@ -2,7 +2,6 @@
 
 use world::{Announcement, Class, Code, TargetState};
 
-use crate::limit::Sign;
 use crate::queue::{Queue, Waiting};
 use crate::{Bucket, Limit, Load, Pace, Phase, Time};
 
@@ -172,7 +171,7 @@
         self.limit.set_slots(announcement.slots);
         let was_cold = known.is_some_and(|(_, state)| state == TargetState::Cold);
         if announcement.state == TargetState::Cold && !was_cold && !fresh {
-            self.limit.cut(now, Sign::Refusal);
+            self.limit.cut(now);
         }
         self.target = Some(announcement);
         fresh
@@ -380,12 +379,8 @@
 
     /// Cuts the limit, and refuses what waits: it is served sooner elsewhere.
     fn cut(&mut self, now: Time) -> Vec<Action> {
-        self.cut_by(now, Sign::Refusal)
-    }
-
-    fn cut_by(&mut self, now: Time, sign: Sign) -> Vec<Action> {
         self.pace.restart();
-        if !self.limit.cut(now, sign) {
+        if !self.limit.cut(now) {
             return Vec::new();
         }
         self.cuts += 1;
@@ -411,7 +406,7 @@
                 actions.push(Action::Slow(running.id));
             }
         }
-        actions.extend(self.cut_by(now, Sign::Pace));
+        actions.extend(self.cut(now));
         actions
     }
 
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -5,15 +5,6 @@
 /// Weight of one answer in the moving mean that entries see.
 const MEAN_WEIGHT: f64 = 0.1;
 
-/// Why a limit is cut.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sign {
-    /// The target refused, broke a connection or says that it is cold: it bears little.
-    Refusal,
-    /// The target slowed down: it may be cold, or its neighbours are loud.
-    Pace,
-}
-
 /// A target's concurrency limit: never above its slots, small while it is cold, cut at once on the
 /// first sign of a fall back to cold, and grown again only by answers to requests begun since.
 #[derive(Clone, Debug)]
@@ -30,8 +21,6 @@
     cold: bool,
     /// When the limit was last cut.
     cut: Time,
-    /// Answers after which the limit grows by one since the last cut.
-    step: u32,
     /// Answers since the limit last grew, to requests begun since `cut`.
     credit: u32,
     mean_us: f64,
@@ -47,7 +36,6 @@
             limit: cold_slots.min(slots),
             cold: cold_slots < slots,
             cut: now,
-            step: warm_answers.max(1),
             credit: 0,
             mean_us: 0.0,
         }
@@ -69,13 +57,8 @@
     }
 
     /// Cuts the limit to what a cold target bears. Returns whether that changed anything.
-    pub fn cut(&mut self, now: Time, sign: Sign) -> bool {
+    pub fn cut(&mut self, now: Time) -> bool {
         let was = (self.cold, self.limit);
-        self.step = match sign {
-            Sign::Refusal => self.warm_answers,
-            Sign::Pace if self.cold => self.step,
-            Sign::Pace => 1,
-        };
         self.limit = self.cold_slots.min(self.slots);
         self.cold = self.cold_slots < self.slots;
         self.cut = now;
@@ -102,7 +85,7 @@
 
     fn grow(&mut self) {
         self.credit += 1;
-        if self.credit < self.step || self.limit >= self.slots {
+        if self.credit < self.warm_answers || self.limit >= self.slots {
             return;
         }
         self.credit = 0;
--- a/crates/policy/tests/call.rs
+++ b/crates/policy/tests/call.rs
@@ -165,6 +165,42 @@
     assert_eq!(step, Step::GiveUp(Code::Overload, true));
 }
 
+#[test]
+fn an_upload_waits_for_room_until_its_deadline() {
+    let (mut entry, mut rng) = (entry(2), SmallRng::seed_from_u64(8));
+    let upload = Ask { class: Class::Bulk, ..ask(false, false) };
+    let (mut call, mut target) = begin(&mut entry, upload, &mut rng);
+    let mut now = 0;
+    let mut sends = 0;
+    let step = loop {
+        now += 1_000;
+        let busy = End::Refused(Code::TargetBusy);
+        match call.ended(Time(now), &mut entry, &mut rng, &target, busy, None) {
+            Step::Send(next) => target = next,
+            Step::Wait(until) => {
+                now = until.0;
+                match call.timer(until, &mut entry, &mut rng) {
+                    Step::Send(next) => target = next,
+                    step => break step,
+                }
+            }
+            step => break step,
+        }
+        sends += 1;
+    };
+    assert_eq!(step, Step::GiveUp(Code::TargetBusy, true));
+    assert!(sends > 30 && now > 1_900_000, "{sends} sends, {now} us");
+    let (mut entry, mut rng) = (self::entry(2), SmallRng::seed_from_u64(8));
+    let (mut call, target) =
+        begin(&mut entry, Ask { class: Class::Bulk, ..ask(false, false) }, &mut rng);
+    let overload = End::Refused(Code::Overload);
+    let mut step = call.ended(Time(10), &mut entry, &mut rng, &target, overload, None);
+    while let Step::Send(next) = step {
+        step = call.ended(Time(20), &mut entry, &mut rng, &next, overload, None);
+    }
+    assert_eq!(step, Step::GiveUp(Code::Overload, true), "overload is told at once");
+}
+
 #[test]
 fn without_targets_the_caller_is_told_at_once() {
     let (mut entry, mut rng) = (entry(0), SmallRng::seed_from_u64(7));
--- a/crates/testkit/examples/mesh.rs
+++ b/crates/testkit/examples/mesh.rs
@@ -161,8 +161,10 @@
     let false_not_run = report::false_not_run(&runs, &load.not_run());
     let control_bytes = control_before.iter().zip(&control_after).map(|(a, b)| (b - a) / seconds);
     let control_bytes = control_bytes.fold(0.0, f64::max);
-    let cpu = before.iter().zip(&after).map(|(a, b)| (b.cpu_s - a.cpu_s) / seconds);
-    let cpu = cpu.fold(0.0, f64::max);
+    let cores = before.iter().zip(&after).map(|(a, b)| (b.cpu_s - a.cpu_s) / seconds);
+    let cores: Vec<f64> = cores.collect();
+    let cpu = cores.iter().copied().fold(0.0, f64::max);
+    let mean_cpu = cores.iter().sum::<f64>() / cores.len() as f64;
     let memory = after.iter().map(|usage| usage.peak).max().unwrap_or(0);
     let dc_out_ms = last_out / 1_000;
 
@@ -181,7 +183,7 @@
     bounds.check("share of a core, worst idle node", idle.core, CONTROL_CORE);
     bounds.check("idle memory, worst node, bytes", idle.memory as f64, IDLE_MEMORY as f64);
     bounds.check("memory under load, worst node, bytes", memory as f64, LOAD_MEMORY as f64);
-    println!("share of a core under load, worst node: {cpu:.3}");
+    println!("share of a core under load, worst node {cpu:.3}, mean {mean_cpu:.4}");
     let summary = json!({
         "tenant": name,
         "calls": sum(testkit::load::Tally::calls),
@@ -200,6 +202,7 @@
         "idle_link_bytes_s": idle.bytes_s.round(),
         "idle_core": idle.core,
         "load_core": cpu,
+        "mean_load_core": mean_cpu,
         "idle_memory": idle.memory,
         "load_memory": memory,
         "bounds_broken": bounds.broken,
--- a/crates/testkit/examples/path.rs
+++ b/crates/testkit/examples/path.rs
@@ -1,8 +1,10 @@
-//! Measures what the path adds to one call: direct to the target, through the node beside it, and
-//! through another node and the link between, and with a key through the store: see `path --help`.
+//! Measures what the path adds to one call: direct to the target, through two processes that only
+//! copy bytes, through the node beside the target, through another node and the link between, and
+//! with a key through the store: see `path --help`.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -57,7 +59,16 @@
         call(&client, local).await?;
         call(&client, remote).await?;
     }
-    let rows = [("direct", direct), ("local", local), ("remote", remote), ("keyed", remote)];
+    let (mut near, second) = relay(&args.binaries, args.net, 2, direct)?;
+    let (mut far, first) = relay(&args.binaries, args.net, 1, second)?;
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    let rows = [
+        ("direct", direct),
+        ("relays", first),
+        ("local", local),
+        ("remote", remote),
+        ("keyed", remote),
+    ];
     let mut rows = rows.map(|(name, to)| {
         let histogram = Histogram::<u64>::new(3).expect("three digits are in range");
         (name, to, histogram)
@@ -72,6 +83,10 @@
             histogram.saturating_record(latency_us);
         }
     }
+    for relay in [&mut near, &mut far] {
+        relay.kill()?;
+        relay.wait()?;
+    }
     println!("path     p50us  p90us  p99us p999us");
     for (name, _, histogram) in &rows {
         let at = |q| histogram.value_at_quantile(q);
@@ -80,6 +95,20 @@
     Ok(())
 }
 
+/// Starts a process that only copies bytes to `to`, and returns where it listens.
+fn relay(
+    binaries: &Path,
+    net: u8,
+    number: u8,
+    to: SocketAddr,
+) -> std::io::Result<(Child, SocketAddr)> {
+    let address = SocketAddr::from(([127, net, 0, 10 + number], 8002));
+    let child = Command::new(binaries.join("examples/relay"))
+        .args(["--address", &address.to_string(), "--to", &to.to_string()])
+        .spawn()?;
+    Ok((child, address))
+}
+
 async fn keyed(
     client: &Client,
     to: SocketAddr,
--- a/crates/world/src/inventory.rs
+++ b/crates/world/src/inventory.rs
@@ -154,6 +154,12 @@
         Some(&self.data_centres[at])
     }
 
+    /// Returns the VM of this name.
+    pub fn vm(&self, name: &str) -> Option<&Vm> {
+        let at = self.vms.binary_search_by(|vm| (*vm.name).cmp(name)).ok()?;
+        Some(&self.vms[at])
+    }
+
     /// Returns the service of this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         let at = self.services.binary_search_by(|service| (*service.name).cmp(name)).ok()?;
