A part of an upload is never taken for the whole

Ruled out: our own streams, which are reset; the target's side, where hyper tells a cut. The bytes are now counted against the content-length, and a chunked body is refused with the new code 2021 (411), since its cut cannot be told from its end.

--- a/crates/bamboowheel/src/callers.rs
+++ b/crates/bamboowheel/src/callers.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::future::poll_fn;
-use http::{Method, Response, StatusCode, Uri};
+use http::{Method, Response, StatusCode, Uri, header};
 use policy::{Ask, Fingerprint};
 use tokio::sync::{mpsc, oneshot};
 use wire::Call;
@@ -93,7 +93,9 @@
     rule: Rule,
     path: String,
     key: Option<String>,
-    length: Option<u64>,
+    /// The body's length. A body without one is refused, since the HTTP library does not tell the end
+    /// of such a body from its cut.
+    length: u64,
     deadline_ms: u64,
 }
 
@@ -122,13 +124,16 @@
         if key.is_none() && rule.key_required {
             return Err(Code::KeyMissing);
         }
-        let length = headers::text(headers, "content-length");
-        let length = length.map(|length| length.parse().map_err(|_| Code::BadRequest));
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            return Err(Code::LengthMissing);
+        }
+        let length = headers::text(headers, "content-length").unwrap_or("0");
+        let length = length.parse().map_err(|_| Code::BadRequest)?;
         let left = headers::text(headers, headers::DEADLINE.as_str());
         let left =
             left.map(|left| left.parse::<u64>().map_err(|_| Code::BadRequest)).transpose()?;
         let deadline_ms = left.unwrap_or(u64::MAX).min(rule.deadline_ms);
-        let (key, length) = (key.map(str::to_owned), length.transpose()?);
+        let key = key.map(str::to_owned);
         Ok(Parsed { rule, path, key, length, deadline_ms })
     }
 }
@@ -143,7 +148,7 @@
 ) -> Result<Answer, Refusal> {
     let Parsed { rule, path, key, length, deadline_ms } = parsed;
     let deadline = node.now().after(deadline_ms * 1_000);
-    let mut upload = Upload { body, left: Bytes::new(), ended: false };
+    let mut upload = Upload { body, left: Bytes::new(), to_come: length, ended: false };
     let prefix = upload.prefix().await.ok_or(Refusal { code: Code::BadRequest, not_run: true })?;
     let whole = upload.ended;
     let ask = Ask {
@@ -163,7 +168,7 @@
         method: method.to_string(),
         path,
         fields,
-        length,
+        length: Some(length),
         key,
         spare: false,
         prefix: prefix.to_vec(),
@@ -180,6 +185,8 @@
     body: RequestBody,
     /// Read already, and not yet passed on.
     left: Bytes,
+    /// Bytes that were not read yet. A body that ends before they came was cut.
+    to_come: u64,
     /// Whether the caller sent all of it.
     ended: bool,
 }
@@ -227,10 +234,15 @@
 
     async fn next(&mut self) -> Option<Piece> {
         let frame = poll_fn(|context| Pin::new(&mut self.body).poll_frame(context));
+        if self.to_come == 0 {
+            return Some(Piece::End);
+        }
         match tokio::time::timeout(BODY_WAIT, frame).await.ok()? {
-            Some(Ok(Frame::Data(bytes))) => Some(Piece::Data(bytes)),
-            Some(Ok(Frame::Trailers(_))) | None => Some(Piece::End),
-            Some(Err(_)) => None,
+            Some(Ok(Frame::Data(bytes))) => {
+                self.to_come = self.to_come.checked_sub(bytes.len() as u64)?;
+                Some(Piece::Data(bytes))
+            }
+            Some(Ok(Frame::Trailers(_)) | Err(_)) | None => None,
         }
     }
 }
--- a/crates/testkit/src/scenario/run.rs
+++ b/crates/testkit/src/scenario/run.rs
@@ -232,8 +232,8 @@
         std::thread::scope(|scope| {
             let operators: Vec<_> =
                 (0..count).map(|_| scope.spawn(|| self.mark(&["dc", "out", name]))).collect();
-            let ended = operators.into_iter().map(|operator| operator.join());
-            ended.map(|ended| ended.unwrap_or(Err("an operator crashed".to_owned()))).collect()
+            let mut ended = operators.into_iter().map(|operator| operator.join());
+            ended.try_for_each(|ended| ended.unwrap_or(Err("an operator crashed".to_owned())))
         })
     }
 
@@ -283,6 +283,8 @@
         Shape::Post => request(Method::POST, &path, &headers, Bytes::from_static(b"deposit")),
         Shape::Upload => {
             let pieces = vec![Bytes::from(vec![7; PIECE]); PIECES as usize];
+            let length = (PIECE * PIECES as usize).to_string();
+            headers.push(("content-length", &length));
             upload(&path, &headers, pieces, send.over / PIECES)
         }
     }
--- a/crates/testkit/tests/bad_input.rs
+++ b/crates/testkit/tests/bad_input.rs
@@ -1,14 +1,18 @@
 //! Callers that send nonsense: a clear error, and the node goes on.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use http::Method;
 use testkit::client::{Client, request};
-use testkit::mesh::{Mesh, ServiceSize, Tenant};
+use testkit::mesh::{Mesh, ServiceSize, Tenant, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use world::Class;
 
+/// The longest wait for something that is sure to happen.
+const LIMIT: Duration = Duration::from_secs(40);
+
 fn tenant() -> Tenant {
     let service = |name: &str, keyed| ServiceSize {
         name: name.to_owned(),
@@ -53,6 +57,30 @@
     String::from_utf8_lossy(&said[..length]).lines().next().unwrap_or_default().to_owned()
 }
 
+/// Sends a part of an upload through another node and goes away. The target must not take the part
+/// for the whole.
+async fn cut_in_the_middle(mesh: &Mesh) {
+    let served = || async {
+        let page = testkit::client::get(mesh.vms[0].target(), "/control").await.unwrap();
+        let page: serde_json::Value = serde_json::from_slice(&page.body).unwrap();
+        (page["served"].as_u64(), page["running"].as_u64())
+    };
+    let (before, _) = served().await;
+    let part = vec![b'x'; 0x8000];
+    let chunked = "POST /read HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n8000\r\n";
+    let said = raw(mesh, &[chunked.as_bytes(), &part, b"\r\n"].concat()).await;
+    assert!(said.contains("411"), "{said}");
+    let mut stream = TcpStream::connect(mesh.vms[1].callers()).await.unwrap();
+    let head = "POST /read HTTP/1.1\r\nhost: a\r\ncontent-length: 100000\r\n\r\n";
+    stream.write_all(&[head.as_bytes(), &part].concat()).await.unwrap();
+    let is_running = || async { served().await.1 == Some(1) };
+    until(LIMIT, is_running).await.expect("the upload reaches the target");
+    drop(stream);
+    let is_over = || async { served().await.1 == Some(0) };
+    until(LIMIT, is_over).await.expect("the upload ends at the target");
+    assert_eq!(served().await.0, before, "a part was taken for the whole");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn nonsense_is_told_as_such_and_does_no_harm() {
     let own = std::env::current_exe().unwrap();
@@ -105,6 +133,7 @@
     // An upload that its caller cuts is no answer, and no whole body for the target.
     let cut = b"POST /read HTTP/1.1\r\nhost: a\r\ncontent-length: 100000\r\n\r\nabc";
     drop(TcpStream::connect(to).await.unwrap().write_all(cut).await);
+    cut_in_the_middle(&mesh).await;
     let good = request(Method::GET, "/read", &[("x-echo", "still here")], bytes::Bytes::new());
     let answer = client.send(to, good).await.unwrap();
     assert!(String::from_utf8_lossy(&answer.body).contains("still here"));
--- a/crates/world/src/code.rs
+++ b/crates/world/src/code.rs
@@ -56,6 +56,7 @@
     TargetRefused = 2018, "the target shed the request before it ran";
     AnswerLost = 2019, "the request ran once, and its answer was too large to be kept";
     TargetBusy = 2020, "the target bears no more at the moment";
+    LengthMissing = 2021, "a body needs a content-length";
     Conflict = 3001, "another change was accepted first";
     StoreUnknown = 3002, "the store did not say whether the change took effect";
     StoreUnavailable = 3003, "the store is not available";
@@ -101,6 +102,7 @@
             Code::NoService => 404,
             Code::BadRequest | Code::KeyMissing => 400,
             Code::HeadTooLarge => 431,
+            Code::LengthMissing => 411,
             Code::KeyRunning | Code::KeyUnknown => 409,
             Code::KeyReused => 422,
             Code::DeadlinePassed => 504,
