Nodes that start at once find each other; what comes too late is not sent

Each now reads the list after its own write, so the later writer finds the earlier. It is refused before it is sent; test what_comes_too_late_is_not_sent.

--- a/crates/bamboowheel/src/gossip.rs
+++ b/crates/bamboowheel/src/gossip.rs
@@ -58,27 +58,23 @@
     }
 }
 
-/// Reads the table's list now and then, so that groups of nodes that never met find each other.
-pub async fn keep_list(node: Arc<Node>) {
-    loop {
-        tokio::time::sleep(REGISTER).await;
-        if let Err(error) = read_list(&node).await {
-            tracing::warn!("members: the list cannot be read: {error}");
-        }
-    }
-}
-
-/// Keeps this node's row in the table.
+/// Keeps this node's row in the table, and reads the others' after each write: of two nodes that
+/// start at once, the one that writes later finds the other.
 pub async fn register(node: Arc<Node>) {
     loop {
         node.metrics.store_calls.inc();
-        match write_row(&node).await {
-            Ok(()) => tokio::time::sleep(REGISTER).await,
+        let kept = match write_row(&node).await {
+            Ok(()) => read_list(&node).await,
+            Err(error) => Err(error),
+        };
+        let pause = match kept {
+            Ok(()) => REGISTER,
             Err(error) => {
-                tracing::warn!("members: this node's row was not written: {error}");
-                tokio::time::sleep(AGAIN).await;
+                tracing::warn!("members: this node's row was not kept: {error}");
+                AGAIN
             }
-        }
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/bamboowheel/src/run.rs
+++ b/crates/bamboowheel/src/run.rs
@@ -151,7 +151,7 @@
         gossip::join(&node).await;
         spread::ask_all(&node).await;
         node.set_joined();
-        tokio::join!(gossip::keep_list(node.clone()), spread::poll(node));
+        spread::poll(node).await;
     });
 }
 
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -283,6 +283,9 @@
         rng: &mut R,
         otherwise: Code,
     ) -> Step {
+        if now >= self.ask.deadline {
+            return Step::GiveUp(Code::DeadlinePassed, !self.may_have_run);
+        }
         let tried = self.names();
         let service = entry.service(&self.ask.service);
         let Some(target) = service.picker.choose(now, rng, &tried) else {
@@ -297,9 +300,6 @@
     }
 
     fn again<R: Rng>(&mut self, now: Time, entry: &mut Entry, rng: &mut R, code: Code) -> Step {
-        if now >= self.ask.deadline {
-            return Step::GiveUp(Code::DeadlinePassed, !self.may_have_run);
-        }
         let service = entry.service(&self.ask.service);
         if self.tried.len() >= ATTEMPTS || !service.retries.take(now, 1.0) {
             return Step::GiveUp(code, !self.may_have_run);
--- a/crates/policy/tests/call.rs
+++ b/crates/policy/tests/call.rs
@@ -201,6 +201,14 @@
     assert_eq!(step, Step::GiveUp(Code::Overload, true), "overload is told at once");
 }
 
+#[test]
+fn what_comes_too_late_is_not_sent() {
+    let (mut entry, mut rng) = (entry(3), SmallRng::seed_from_u64(9));
+    let late = Ask { deadline: Time(0), ..ask(true, false) };
+    let (_, step) = entry.begin(Time(0), late, &mut rng);
+    assert_eq!(step, Step::GiveUp(Code::DeadlinePassed, true));
+}
+
 #[test]
 fn without_targets_the_caller_is_told_at_once() {
     let (mut entry, mut rng) = (entry(0), SmallRng::seed_from_u64(7));
