--- a/crates/bamboowheel/src/callers.rs
+++ b/crates/bamboowheel/src/callers.rs
@@ -276,7 +276,7 @@
     fn respond(self, node: &Node, id: u64, body: ResponseBody) -> WebResponse {
         let mut response = Response::new(body);
         *response.status_mut() = self.status;
-        headers::add_fields(response.headers_mut(), &self.fields);
+        wire::add_fields(response.headers_mut(), &self.fields);
         insert(response.headers_mut(), headers::REQUEST_ID.as_str(), &format!("{id:016x}"));
         if node.is_draining() {
             insert(response.headers_mut(), "connection", "close");
--- a/crates/bamboowheel/src/dispatch.rs
+++ b/crates/bamboowheel/src/dispatch.rs
@@ -174,7 +174,7 @@
     let builder = Request::builder().method(call.method.as_str()).uri(call.path.as_str());
     let mut request = builder.body(pieces).ok()?;
     let own = request.headers_mut();
-    headers::add_fields(own, &call.fields);
+    wire::add_fields(own, &call.fields);
     if !own.contains_key(header::HOST) {
         let host = HeaderValue::from_str(&admitted.target.address.to_string()).ok()?;
         own.insert(header::HOST, host);
--- a/crates/bamboowheel/src/events.rs
+++ b/crates/bamboowheel/src/events.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use world::Code;
 
-use crate::clock::wall_ms;
+use runtime::wall_ms;
 
 /// Events kept; the oldest go first.
 const KEPT: usize = 1_024;
--- a/crates/bamboowheel/src/gossip.rs
+++ b/crates/bamboowheel/src/gossip.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::{Condition, Row, Table, Write};
+use table::{Condition, Row, Table, Write};
 use policy::Member;
 use wire::{Open, Reply};
 use world::Key;
 
-use crate::clock::wall_ms;
+use runtime::wall_ms;
 use crate::node::{Node, lock};
 use crate::suspicion;
 
@@ -78,7 +78,7 @@
     }
 }
 
-async fn write_row(node: &Node) -> Result<(), platform::Error> {
+async fn write_row(node: &Node) -> Result<(), table::Error> {
     let me = lock(&node.members).me().clone();
     let body = serde_json::to_vec(&me).unwrap_or_default();
     let row = Row { key: Key::node(&me.name), version: wall_ms().max(1), body };
@@ -86,7 +86,7 @@
     node.table.write(vec![Write { row, condition: Condition::Any, expires }]).await
 }
 
-async fn read_list(node: &Arc<Node>) -> Result<(), platform::Error> {
+async fn read_list(node: &Arc<Node>) -> Result<(), table::Error> {
     node.metrics.store_calls.inc();
     let rows = node.table.list(Key::NODES).await?;
     let members: Vec<Member> =
--- a/crates/bamboowheel/src/ledger.rs
+++ b/crates/bamboowheel/src/ledger.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use platform::{Dynamo, Error, Table, Write};
+use table::{Dynamo, Error, Table, Write};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 
--- a/crates/bamboowheel/src/lib.rs
+++ b/crates/bamboowheel/src/lib.rs
@@ -5,7 +5,6 @@
 mod admin;
 mod attempt;
 mod callers;
-mod clock;
 mod dispatch;
 mod events;
 mod exchange;
@@ -27,7 +26,6 @@
 mod settings;
 mod spread;
 mod suspicion;
-mod tls;
 
 pub use run::main;
 pub use settings::{Fault, Settings};
--- a/crates/bamboowheel/src/links.rs
+++ b/crates/bamboowheel/src/links.rs
@@ -10,10 +10,10 @@
     VarInt,
 };
 use snafu::{OptionExt, Snafu};
+use wire::tls::{Identity, SERVER_NAME};
 use wire::{Open, Reply};
 
 use crate::node::{Node, lock};
-use crate::tls::{Identity, SERVER_NAME};
 
 /// The longest wait for a handshake.
 const CONNECT: Duration = Duration::from_secs(2);
--- a/crates/bamboowheel/src/node.rs
+++ b/crates/bamboowheel/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
-use platform::Dynamo;
+use table::Dynamo;
 use policy::{Entry, Health, Member, MemberAction, Members, Route, Suspects, Time, Versions};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -14,7 +14,7 @@
 use world::{Code, Config, Inventory, Name};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clock::{Clock, wall_ms};
+use runtime::{Clock, wall_ms};
 use crate::events::Events;
 use crate::gate::Gate;
 use crate::ledger::Ledger;
--- a/crates/bamboowheel/src/once.rs
+++ b/crates/bamboowheel/src/once.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::{Condition, Error, Row, Table, Write};
+use table::{Condition, Error, Row, Table, Write};
 use policy::{Once, OnceRecord, OnceState, OnceStep, Stored, TableReply, Time};
 use tokio::sync::mpsc;
 use wire::{Call, Field, Verdict};
 use world::{Code, Key};
 
 use crate::attempt::Event;
-use crate::clock::wall_ms;
+use runtime::wall_ms;
 use crate::gate::refused;
 use crate::node::{Node, lock};
 
--- a/crates/bamboowheel/src/run.rs
+++ b/crates/bamboowheel/src/run.rs
@@ -8,16 +8,21 @@
 use tokio::runtime::{Builder, Handle};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::oneshot;
+use wire::tls::{self, Timing, Trust};
 use world::Code;
 
 use crate::links::Links;
 use crate::node::{Node, lock};
-use crate::settings::{Args, Settings, Trust, USAGE};
-use crate::{admin, callers, gate, gossip, logs, peers, server, spread, tls};
+use crate::settings::{Args, Settings, USAGE};
+use crate::{admin, callers, gate, gossip, logs, peers, server, spread};
 
 /// Time in which peers learn of a leaving node before it refuses callers.
 const NOTICE: Duration = Duration::from_millis(300);
 
+/// How links between nodes are kept: the membership's own probes find a dead peer sooner.
+const LINK_TIMING: Timing =
+    Timing { idle: Duration::from_secs(60), keep_alive: Duration::from_secs(20) };
+
 /// Runs the program. Returns its exit code.
 pub fn main() -> i32 {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -94,7 +99,7 @@
     async fn start(settings: Settings) -> Result<Started, (Code, String)> {
         let cannot_bind = |error: std::io::Error| (Code::CannotBind, error.to_string());
         let identity =
-            tls::open(&settings.trust).map_err(|error| (Code::BadSetting, error.to_string()))?;
+            tls::open(&settings.trust, LINK_TIMING).map_err(|error| (Code::BadSetting, error.to_string()))?;
         if settings.trust == Trust::Development {
             tracing::warn!("links: development mode, any node may join");
         }
--- a/crates/bamboowheel/src/settings.rs
+++ b/crates/bamboowheel/src/settings.rs
@@ -7,6 +7,7 @@
 
 use derive_more::Display;
 use gumdrop::Options;
+use wire::tls::Trust;
 use world::Name;
 
 /// The text above the options in the help.
@@ -109,22 +110,6 @@
     pub log_level: Option<String>,
 }
 
-/// Where the links' certificates come from.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Trust {
-    /// A certificate authority that everyone knows.
-    Development,
-    /// PEM files.
-    Files {
-        /// The authority's certificate.
-        ca: PathBuf,
-        /// The node's certificate.
-        cert: PathBuf,
-        /// The node's key.
-        key: PathBuf,
-    },
-}
-
 /// The form of log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogForm {
@@ -152,7 +137,7 @@
     /// Where the links' certificates come from.
     pub trust: Trust,
     /// How the table is reached.
-    pub store: platform::Settings,
+    pub store: table::Settings,
     /// The longest time that draining may take.
     pub drain_limit: Duration,
     /// Threads that serve callers, above zero.
@@ -203,7 +188,7 @@
             admin: self.needed("admin", args.admin, Some("127.0.0.1:7002"), "an IP:PORT"),
             join: self.list("join", args.join),
             trust: self.trust(args.dev_links, args.link_ca, args.link_cert, args.link_key),
-            store: platform::Settings {
+            store: table::Settings {
                 endpoint: self.value("store", args.store),
                 region: self.text("store-region", args.store_region, Some("us-east-1")),
                 table: self.text("store-table", args.store_table, Some("bamboowheel")),
--- a/crates/bamboowheel/src/spread.rs
+++ b/crates/bamboowheel/src/spread.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::Table;
+use table::Table;
 use wire::{Open, Reply};
 use world::{Config, Key};
 
--- a/crates/bamboowheelctl/src/change.rs
+++ b/crates/bamboowheelctl/src/change.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use platform::{Condition, Row, Table, Write};
+use table::{Condition, Row, Table, Write};
 use world::{Config, Key};
 
 use crate::Error;
@@ -65,10 +65,10 @@
     for _ in 0..SETTLES {
         match table.write(writes(old, config)).await {
             Ok(()) => return Ok(Swapped::Done),
-            Err(source @ platform::Error::Unavailable { .. }) if !in_doubt => {
+            Err(source @ table::Error::Unavailable { .. }) if !in_doubt => {
                 return Err(Error::Store { source });
             }
-            Err(platform::Error::Unknown { .. }) => in_doubt = true,
+            Err(table::Error::Unknown { .. }) => in_doubt = true,
             Err(_) => {}
         }
         if let Ok(Some(swapped)) = settle(table, config).await {
--- a/crates/bamboowheelctl/src/cmd/history.rs
+++ b/crates/bamboowheelctl/src/cmd/history.rs
@@ -1,7 +1,7 @@
 //! `history`: lists the accepted changes.
 
 use gumdrop::Options;
-use platform::Table;
+use table::Table;
 use serde_json::json;
 use world::{Config, Key};
 
--- a/crates/bamboowheelctl/src/error.rs
+++ b/crates/bamboowheelctl/src/error.rs
@@ -47,7 +47,7 @@
     #[snafu(display("{}: {source}", Code::StoreUnavailable))]
     Store {
         /// What it said.
-        source: platform::Error,
+        source: table::Error,
     },
     /// The inventory has no data centre of this name.
     #[snafu(display("{}: {name}", Code::UnknownDataCentre))]
--- a/crates/bamboowheelctl/src/store.rs
+++ b/crates/bamboowheelctl/src/store.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::time::Duration;
 
-use platform::{Dynamo, Settings};
+use table::{Dynamo, Settings};
 
 use crate::Error;
 
--- a/crates/bamboowheelctl/tests/change.rs
+++ b/crates/bamboowheelctl/tests/change.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bamboowheelctl::{Error, change, current};
-use platform::{Fake, Faults, Table};
+use table::{Fake, Faults, Table};
 use world::{Config, Key};
 
 fn note(config: &mut Config, note: &str) -> Result<(), Error> {
@@ -31,10 +31,10 @@
             let winner =
                 Config { version: config.version, change: "theirs".into(), ..config.clone() };
             let body = serde_json::to_vec(&winner).unwrap();
-            let row = |key| platform::Row { key, version: winner.version, body: body.clone() };
-            let put = |key| platform::Write {
+            let row = |key| table::Row { key, version: winner.version, body: body.clone() };
+            let put = |key| table::Write {
                 row: row(key),
-                condition: platform::Condition::Any,
+                condition: table::Condition::Any,
                 expires: None,
             };
             let writes = vec![put(Key::config()), put(Key::history(winner.version))];
--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,298 @@
+//! Admission in front of one target: what runs, what waits, and what is refused at once.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::{RateWindow, Time};
+
+/// Knowledge of how slow the target's VM is lasts this long, in microseconds: neighbours keep a VM
+/// busy for about a tenth of a second at a time.
+const SLOWNESS_US: u64 = 100_000;
+/// A VM this many times slower than usual is left where another target has room.
+const SLOW: f64 = 2.0;
+/// Weight of one answer in the moving mean of the time that work takes.
+const WORK_WEIGHT: f64 = 0.05;
+/// Time that work is taken to need before any answer, in microseconds.
+const WORK_US: f64 = 100_000.0;
+/// Requests that wait per slot, at most; more could not start before their deadlines.
+const WAITING_PER_SLOT: usize = 4;
+
+/// Why a request is not run.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+pub enum Refusal {
+    /// No target is known or reachable.
+    NoTarget,
+    /// The target leaves.
+    Leaving,
+    /// The data centre is out of service.
+    Out,
+    /// The node shuts down.
+    Draining,
+    /// The target is cold and has what it bears.
+    Cold,
+    /// Every slot is taken, and another target may have one.
+    Busy,
+    /// The VM is slow just now, and another target may not be.
+    Slow,
+    /// Too much waits for the request to be served in time.
+    Full,
+    /// The deadline passed before it ran.
+    Late,
+    /// The target itself did not run it.
+    Shed,
+    /// The target is another instance than the one that was named.
+    Misdirected,
+    /// It crashed its targets before.
+    Quarantined,
+}
+
+/// A request that asks to run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Offering {
+    /// Unique at this guard.
+    pub id: u64,
+    /// 0 is served first.
+    pub priority: u32,
+    /// When its answer is worth nothing any more.
+    pub deadline: Time,
+    /// Whether its entry has other targets to try, so that it should not wait here.
+    pub elsewhere: bool,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admitted {
+    /// It runs now.
+    Run,
+    /// It waits; a later call returns it.
+    Wait,
+    /// It is not run here.
+    Refuse(Refusal),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    offering: Offering,
+    arrived: Time,
+}
+
+/// What a cold target bears.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Warmup {
+    until: Time,
+    /// Requests in any second.
+    most: u32,
+}
+
+/// The state in front of one target.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    /// Requests that the target runs at once.
+    slots: u32,
+    /// Requests that run; may exceed `slots` after these shrank.
+    running: u32,
+    /// In the order in which they are served: by priority, then by deadline.
+    waiting: Vec<Waiting>,
+    warmup: Option<Warmup>,
+    sent: RateWindow,
+    slowness: f64,
+    slowness_at: Time,
+    /// Moving mean of the time that work takes on a VM that is not slow, in microseconds.
+    work_us: f64,
+}
+
+impl Default for Admission {
+    fn default() -> Admission {
+        Admission {
+            slots: 0,
+            running: 0,
+            waiting: Vec::new(),
+            warmup: None,
+            sent: RateWindow::default(),
+            slowness: 1.0,
+            slowness_at: Time::default(),
+            work_us: WORK_US,
+        }
+    }
+}
+
+impl Admission {
+    /// Sets how many requests the target runs at once.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
+    /// Takes the target for cold until a time, bearing `most` requests in any second.
+    pub fn set_warmup(&mut self, until: Time, most: u32) {
+        self.warmup = Some(Warmup { until, most });
+    }
+
+    /// Takes in how slow the target's VM is, 1 being as usual.
+    pub fn set_slowness(&mut self, now: Time, slowness: f64) {
+        self.slowness = slowness;
+        self.slowness_at = now;
+    }
+
+    /// Decides on a request.
+    pub fn offer(&mut self, now: Time, offering: Offering) -> Admitted {
+        if offering.deadline <= now {
+            return Admitted::Refuse(Refusal::Late);
+        }
+        let is_cold = self.is_cold(now);
+        let has_room = self.has_room(now);
+        if offering.elsewhere && has_room && self.slowness(now) >= SLOW {
+            return Admitted::Refuse(Refusal::Slow);
+        }
+        if has_room && self.waiting.is_empty() {
+            self.begin(now);
+            return Admitted::Run;
+        }
+        if offering.elsewhere {
+            return Admitted::Refuse(if is_cold { Refusal::Cold } else { Refusal::Busy });
+        }
+        let at = self.place(&offering);
+        let wait_us = self.wait_us(now, at);
+        let most = self.slots as usize * WAITING_PER_SLOT;
+        if self.waiting.len() >= most || now.after(wait_us) >= offering.deadline {
+            return Admitted::Refuse(if is_cold { Refusal::Cold } else { Refusal::Full });
+        }
+        self.waiting.insert(at, Waiting { offering, arrived: now });
+        Admitted::Wait
+    }
+
+    /// Returns the requests that are to run now, and those that no longer can.
+    pub fn next(&mut self, now: Time) -> Vec<(u64, Admitted)> {
+        let mut decided = Vec::new();
+        self.waiting.retain(|waiting| {
+            let late = waiting.offering.deadline <= now;
+            if late {
+                decided.push((waiting.offering.id, Admitted::Refuse(Refusal::Late)));
+            }
+            !late
+        });
+        while !self.waiting.is_empty() && self.has_room(now) {
+            let waiting = self.waiting.remove(0);
+            self.begin(now);
+            decided.push((waiting.offering.id, Admitted::Run));
+        }
+        decided
+    }
+
+    /// Refuses everything that waits.
+    pub fn clear(&mut self, refusal: Refusal) -> Vec<(u64, Admitted)> {
+        let all = self.waiting.drain(..);
+        all.map(|waiting| (waiting.offering.id, Admitted::Refuse(refusal))).collect()
+    }
+
+    /// Forgets a request that waits. Returns whether it did.
+    pub fn withdraw(&mut self, id: u64) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|waiting| waiting.offering.id != id);
+        self.waiting.len() < before
+    }
+
+    /// Notes that a request ended, and how long the target took where it answered, in microseconds.
+    pub fn done(&mut self, now: Time, took_us: Option<u64>) {
+        self.running = self.running.saturating_sub(1);
+        if let Some(took_us) = took_us {
+            let usual_us = took_us as f64 / self.slowness(now).max(1.0);
+            self.work_us += (usual_us - self.work_us) * WORK_WEIGHT;
+        }
+    }
+
+    /// Returns when something may be due without any event; `Time::NEVER` where nothing waits.
+    pub fn due(&self, now: Time) -> Time {
+        let deadlines = self.waiting.iter().map(|waiting| waiting.offering.deadline);
+        let earliest = deadlines.min().unwrap_or(Time::NEVER);
+        match self.waiting.is_empty() || !self.is_cold(now) {
+            true => earliest,
+            false => earliest.min(self.sent.next_room(now).max(now.after(1_000))),
+        }
+    }
+
+    /// Returns how many requests could start now, or how many wait, as a negative number.
+    pub fn free(&mut self, now: Time) -> i32 {
+        if !self.waiting.is_empty() {
+            return -(self.waiting.len() as i32);
+        }
+        let slots = self.slots.saturating_sub(self.running);
+        let room = match self.warmup.filter(|warmup| warmup.until > now) {
+            Some(warmup) => slots.min(self.sent.room(now, warmup.most)),
+            None => slots,
+        };
+        room as i32
+    }
+
+    /// Returns how many requests run.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns how many requests the target runs at once.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns how slow the VM is as far as is known, 1 being as usual.
+    pub fn slowness(&self, now: Time) -> f64 {
+        match now.since(self.slowness_at) < SLOWNESS_US {
+            true => self.slowness,
+            false => 1.0,
+        }
+    }
+
+    /// Returns the time that work takes on a VM that is not slow, in microseconds.
+    pub fn work_us(&self) -> u64 {
+        self.work_us as u64
+    }
+
+    /// Returns whether the target is cold.
+    pub fn is_cold(&self, now: Time) -> bool {
+        self.warmup.is_some_and(|warmup| warmup.until > now)
+    }
+
+    /// Returns how long the longest wait has lasted, in microseconds.
+    pub fn oldest_us(&self, now: Time) -> u64 {
+        self.waiting.iter().map(|waiting| now.since(waiting.arrived)).max().unwrap_or_default()
+    }
+
+    fn begin(&mut self, now: Time) {
+        self.running += 1;
+        self.sent.sent(now);
+    }
+
+    fn has_room(&mut self, now: Time) -> bool {
+        let bears = match self.warmup.filter(|warmup| warmup.until > now) {
+            Some(warmup) => self.sent.room(now, warmup.most) > 0,
+            None => true,
+        };
+        bears && self.running < self.slots
+    }
+
+    /// Returns where a request would wait.
+    fn place(&self, offering: &Offering) -> usize {
+        let key = |offering: &Offering| (offering.priority, offering.deadline);
+        self.waiting.partition_point(|waiting| key(&waiting.offering) <= key(offering))
+    }
+
+    /// Returns how long a request that waits behind `ahead` others waits, and is then worked on.
+    fn wait_us(&self, now: Time, ahead: usize) -> u64 {
+        let slots = f64::from(self.slots.max(1));
+        let rounds = (ahead as f64 + 1.0) / slots;
+        let by_slots = self.work_us * (rounds + 1.0);
+        match self.warmup.filter(|warmup| warmup.until > now) {
+            None => by_slots as u64,
+            Some(warmup) => {
+                let by_rate = 1e6 * (ahead as f64 + 1.0) / f64::from(warmup.most.max(1));
+                by_slots.max(by_rate + self.work_us) as u64
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/choice.rs
@@ -0,0 +1,153 @@
+//! Choosing among the targets of one service from aged, partial knowledge of each.
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::Time;
+
+/// Knowledge of how slow a VM is loses its weight over this time, in microseconds: neighbours keep a
+/// VM busy for about a tenth of a second at a time.
+const SLOWNESS_US: f64 = 150_000.0;
+/// Knowledge of free slots loses its weight over this time, in microseconds: about the length of a
+/// call, after which other calls run.
+const FREE_US: f64 = 300_000.0;
+/// A target that is not known to be free is taken to be half full.
+const UNKNOWN_USE: f64 = 0.5;
+/// What use adds to the expected time of a target that has a free slot, at full use.
+const USE_WEIGHT: f64 = 0.5;
+/// Costs differ at random by this share, so that entries with the same knowledge spread.
+const SPREAD: f64 = 0.15;
+/// A target that did not answer in time is left alone for this time, in microseconds.
+const DOUBT_US: u64 = 500_000;
+/// Weight of one result in the moving share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// A target's share of failures halves over this time without results, in microseconds.
+const FAILURE_HALF_US: f64 = 1_000_000.0;
+/// The least share of successes that a target is taken to have.
+const LEAST_SUCCESS: f64 = 0.05;
+/// What a kilobyte between data centres costs, in microseconds of a caller's time. Such bytes are
+/// priced: an upload of 60 KB costs a fifth of what it earns.
+const FAR_US_PER_KB: f64 = 3_000.0;
+/// The round trip between data centres, in microseconds.
+const FAR_RTT_US: f64 = 2_000.0;
+
+/// What a guard says of its target on each answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Whether it takes requests at all.
+    pub open: bool,
+    /// Slots that are free, or how many requests wait, as a negative number.
+    pub free: i16,
+    /// Slots.
+    pub slots: u16,
+    /// How slow the VM is, in tenths, 10 being as usual.
+    pub slowness: u8,
+}
+
+/// What an entry knows of one target.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The last report.
+    pub report: Report,
+    /// When it came.
+    at: Time,
+    /// Requests sent since.
+    since: u32,
+    /// Moving share of failures, 0 to 1.
+    failing: f64,
+    failed_at: Time,
+    doubted: Time,
+}
+
+/// What is known of the request that a target is chosen for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weight {
+    /// The time that work takes on a VM that is not slow, in microseconds.
+    pub work_us: f64,
+    /// Bytes of request and answer together.
+    pub bytes: f64,
+}
+
+/// A target that may be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// What is known of it.
+    pub view: &'a View,
+    /// Whether it is in the same data centre.
+    pub near: bool,
+}
+
+impl View {
+    /// Takes in a report.
+    pub fn reported(&mut self, now: Time, report: Report) {
+        self.report = report;
+        self.at = now;
+        self.since = 0;
+    }
+
+    /// Notes that a request is sent.
+    pub fn sent(&mut self) {
+        self.since += 1;
+    }
+
+    /// Notes how a request ended.
+    pub fn ended(&mut self, now: Time, success: bool) {
+        self.failing = self.failing(now);
+        self.failed_at = now;
+        let result = if success { 0.0 } else { 1.0 };
+        self.failing += (result - self.failing) * FAILURE_WEIGHT;
+    }
+
+    /// Notes that nothing was heard of it in time.
+    pub fn doubt(&mut self, now: Time) {
+        self.doubted = now.after(DOUBT_US);
+    }
+
+    /// Returns whether nothing was heard of it in time, lately.
+    pub fn is_doubted(&self, now: Time) -> bool {
+        self.doubted > now
+    }
+
+    /// Returns the moving share of failures.
+    pub fn failing(&self, now: Time) -> f64 {
+        let halves = now.since(self.failed_at) as f64 / FAILURE_HALF_US;
+        self.failing * 0.5_f64.powf(halves)
+    }
+
+    /// Returns the expected time to an answer, in microseconds, dearer where it fails or is far.
+    pub fn cost(&self, now: Time, near: bool, weight: &Weight) -> f64 {
+        let age_us = now.since(self.at) as f64;
+        let slowness = f64::from(self.report.slowness.max(10)) / 10.0;
+        let slowness = 1.0 + (slowness - 1.0) * (-age_us / SLOWNESS_US).exp();
+        let fresh = (-age_us / FREE_US).exp();
+        let slots = f64::from(self.report.slots.max(1));
+        let reported = 1.0 - f64::from(self.report.free) / slots;
+        let used = reported * fresh + UNKNOWN_USE * (1.0 - fresh) + f64::from(self.since) / slots;
+        let queued = (used + 1.0 / slots - 1.0).max(0.0);
+        let time_us = weight.work_us * slowness * (1.0 + queued + USE_WEIGHT * used.clamp(0.0, 1.0));
+        let success = (1.0 - self.failing(now)).max(LEAST_SUCCESS);
+        let far_us = match near {
+            true => 0.0,
+            false => FAR_RTT_US + FAR_US_PER_KB * weight.bytes / 1_000.0,
+        };
+        time_us / (success * success) + far_us
+    }
+}
+
+/// Returns the index of the cheapest candidate. Doubted ones are chosen only where all are.
+pub fn choose<'a>(
+    now: Time,
+    rng: &mut impl Rng,
+    weight: &Weight,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+) -> Option<usize> {
+    let mut best: Option<(bool, f64, usize)> = None;
+    for (at, Candidate { view, near }) in candidates.enumerate() {
+        let noise = 1.0 + SPREAD * rng.random::<f64>();
+        let rank = (view.is_doubted(now), view.cost(now, near, weight) * noise, at);
+        if best.is_none_or(|least| rank < least) {
+            best = Some(rank);
+        }
+    }
+    best.map(|(_, _, at)| at)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,8 +4,10 @@
 //! caller passes the time and a seeded generator; events go in and actions come out. The node
 //! drives these machines over sockets, tests and benchmarks drive them in virtual time.
 
+mod admission;
 mod bucket;
 mod call;
+mod choice;
 mod entry;
 mod guard;
 mod limit;
@@ -16,13 +18,17 @@
 mod pace;
 mod picker;
 mod queue;
+mod rate;
+mod repeats;
 mod service;
 mod suspects;
 mod time;
 mod versions;
 
+pub use admission::{Admission, Admitted, Offering, Refusal};
 pub use bucket::Bucket;
 pub use call::{Ask, Call, End, Step};
+pub use choice::{Candidate, Report, View, Weight, choose};
 pub use entry::Entry;
 pub use guard::{Action, Guard, Offer, Outcome, Settings};
 pub use limit::Limit;
@@ -33,6 +39,8 @@
 pub use pace::Pace;
 pub use picker::{Health as TargetHealth, Picker, Route};
 pub use queue::{Queue, Waiting};
+pub use rate::RateWindow;
+pub use repeats::{RepeatBound, RepeatBudget};
 pub use service::ServiceState;
 pub use suspects::{Fingerprint, Permit, Suspects, Suspicion};
 pub use time::Time;
--- /dev/null
+++ b/crates/sidecar/src/entry/call.rs
@@ -0,0 +1,421 @@
+//! One request: its route, its attempts, its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{self, HeaderValue};
+use http::request::Parts;
+use http::StatusCode;
+use platform::headers;
+use policy::{Candidate, Refusal, Time, choose};
+use rand::Rng;
+use wire::link::Attempt;
+use wire::Field;
+use world::{Code, Name, Repeat, RouteRule};
+
+use crate::entry::answers::{Reply, pass, refuse};
+use crate::entry::callers::deadline;
+use crate::entry::state::Entry;
+use crate::guard::{Answer, Outcome};
+use crate::peers::Peer;
+
+/// Guards that are asked to run a request at once or not at all, before one is asked to let it
+/// wait. Such a refusal takes a round trip of 2 ms, and a busy slot a tenth of a second.
+const EAGER: usize = 3;
+/// Guards that are asked to let a request wait.
+const PATIENT: usize = 2;
+/// The time that an answer needs from the guard to the caller, in microseconds: the guard gives an
+/// attempt up that much earlier, so that its word comes in time.
+const RETURN_US: u64 = 6_000;
+/// A guard that was not heard of for this long after an attempt was sent is doubted. It says after
+/// 40 ms that it holds an attempt.
+const SILENCE: Duration = Duration::from_millis(120);
+
+/// Where an attempt goes.
+#[derive(Clone, Debug)]
+enum Place {
+    /// To the target on this VM.
+    Here,
+    /// To that of another node.
+    There(Rc<Peer>),
+}
+
+/// A request on its way.
+struct Call<'a> {
+    entry: &'a Rc<Entry>,
+    id: String,
+    route: RouteRule,
+    service: Name,
+    method: String,
+    path: String,
+    fields: Vec<Field>,
+    body: Bytes,
+    arrived: Time,
+    deadline: Time,
+    /// Nodes whose guards refused or failed it, by name.
+    tried: Vec<Name>,
+    /// Attempts that reached a target, or may have.
+    reached: u32,
+    /// Attempts, refused ones among them.
+    attempts: usize,
+    /// Whether a target may have run it without an answer.
+    lost: bool,
+    /// A target's failure, to be passed on where nothing better comes.
+    failure: Option<Answer>,
+    /// The last refusal.
+    refusal: Refusal,
+}
+
+/// What follows an attempt.
+enum Next {
+    /// This is the answer.
+    Done(Answer),
+    /// Another target is tried.
+    Again,
+    /// No other may be tried.
+    Over,
+}
+
+impl Entry {
+    /// Serves a request whose body is whole.
+    pub(super) async fn serve(
+        self: &Rc<Entry>,
+        head: &Parts,
+        body: Bytes,
+        arrived: Time,
+    ) -> Reply {
+        let id = head.headers.get(headers::REQUEST_ID);
+        let Some(rules) = self.rules.current() else {
+            return self.unroutable(Code::StoreDown, StatusCode::SERVICE_UNAVAILABLE, head);
+        };
+        let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+        let host = host.or(head.uri.authority().map(|authority| authority.as_str()));
+        let Some(route) = rules.routing.route(host.unwrap_or_default(), head.uri.path()) else {
+            // A newer ruleset that is not known here may have the route.
+            let status = match self.rules.is_followed() {
+                true => StatusCode::NOT_FOUND,
+                false => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            return self.unroutable(Code::NoService, status, head);
+        };
+        let draw = self.rng.borrow_mut().random();
+        let without = [headers::TIMEOUT_MS, headers::INSTANCE, headers::CALLER_SERVICE];
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut call = Call {
+            entry: self,
+            id: id.and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned(),
+            service: route.part(draw).service.clone(),
+            route: route.clone(),
+            method: head.method.as_str().to_owned(),
+            path: path.to_owned(),
+            fields: wire::end_to_end(&head.headers, &without),
+            body,
+            arrived,
+            deadline: deadline(arrived, &head.headers, route.timeout_us),
+            tried: Vec::new(),
+            reached: 0,
+            attempts: 0,
+            lost: false,
+            failure: None,
+            refusal: Refusal::NoTarget,
+        };
+        self.services.borrow_mut().of(&call.service).budget.request(arrived, &self.bound.get());
+        let answer = call.run().await;
+        call.finish(answer, id)
+    }
+
+    fn unroutable(&self, code: Code, status: StatusCode, head: &Parts) -> Reply {
+        let id = head.headers.get(headers::REQUEST_ID);
+        if self.notable.borrow_mut().take(self.clock.now(), 1.0) {
+            let request = id.and_then(|id| id.to_str().ok());
+            let (path, revision) = (head.uri.path(), self.rules.revision());
+            let status = status.as_u16();
+            tracing::info!(request, path, status, revision, "entry: {}", code.text());
+        } else {
+            self.metrics.unlogged.inc();
+        }
+        refuse(code, status, id)
+    }
+}
+
+impl Call<'_> {
+    /// Tries targets until one answers or no other may be tried.
+    async fn run(&mut self) -> Option<Answer> {
+        let mut patient = 0;
+        while self.entry.clock.now().after(RETURN_US) < self.deadline {
+            let eager = self.attempts < EAGER;
+            let place = match self.choose() {
+                Some(place) => place,
+                None if patient == 0 && !self.tried.is_empty() && self.may_wait() => {
+                    // Every guard was asked to run it at once; now one may let it wait.
+                    self.tried.clear();
+                    self.attempts = EAGER;
+                    continue;
+                }
+                None => return None,
+            };
+            let is_last = !eager || self.places().len() < 2;
+            if is_last {
+                patient += 1;
+            }
+            if patient > PATIENT || !self.may_reach() {
+                return None;
+            }
+            match self.attempt(&place, !is_last).await {
+                Next::Done(answer) => return Some(answer),
+                Next::Again => self.tried.push(self.name(&place)),
+                Next::Over => return None,
+            }
+        }
+        None
+    }
+
+    /// Whether the last refusal may be otherwise in a moment.
+    fn may_wait(&self) -> bool {
+        matches!(self.refusal, Refusal::Busy | Refusal::Slow | Refusal::Cold)
+    }
+
+    /// Takes one repeat from the budget where the request may have reached a target before.
+    fn may_reach(&self) -> bool {
+        if self.reached == 0 {
+            return true;
+        }
+        if self.reached >= self.route.attempts {
+            return false;
+        }
+        let (now, bound) = (self.entry.clock.now(), self.entry.bound.get());
+        let mut services = self.entry.services.borrow_mut();
+        let taken =
+            services.of(&self.service).budget.take(now, &bound, self.entry.peers.most());
+        if taken {
+            self.entry.metrics.repeats.inc();
+        }
+        taken
+    }
+
+    /// Chooses a target that was not tried.
+    fn choose(&self) -> Option<Place> {
+        let entry = self.entry;
+        let now = entry.clock.now();
+        let weight = entry.services.borrow_mut().of(&self.service).weight(self.body.len());
+        let mut places = self.places();
+        let own = entry.peers.own.borrow();
+        let views: Vec<_> = places
+            .iter()
+            .map(|place| match place {
+                Place::Here => None,
+                Place::There(peer) => Some((peer.view.borrow(), entry.peers.is_near(&peer.data_centre()))),
+            })
+            .collect();
+        let candidates = views.iter().map(|view| match view {
+            None => Candidate { view: &own, near: true },
+            Some((view, near)) => Candidate { view, near: *near },
+        });
+        let at = choose(now, &mut *entry.rng.borrow_mut(), &weight, candidates)?;
+        drop(views);
+        Some(places.swap_remove(at))
+    }
+
+    /// Returns where the request may go.
+    fn places(&self) -> Vec<Place> {
+        let entry = self.entry;
+        let mut places = Vec::new();
+        let me = &entry.peers.me().name;
+        if !self.tried.contains(me) && entry.guard.takes(&self.service) {
+            places.push(Place::Here);
+        }
+        let rules = entry.rules.current();
+        let is_out = |peer: &Peer| {
+            rules.as_ref().is_some_and(|rules| rules.is_out(&peer.data_centre()))
+        };
+        entry.peers.each(|peer| {
+            let is_tried = || self.tried.iter().any(|name| peer.is(name));
+            if peer.serves(&self.service) && !is_tried() && !is_out(peer) {
+                places.push(Place::There(peer.clone()));
+            }
+        });
+        places
+    }
+
+    fn name(&self, place: &Place) -> Name {
+        match place {
+            Place::Here => self.entry.peers.me().name.clone(),
+            Place::There(peer) => peer.node().name,
+        }
+    }
+
+    async fn attempt(&mut self, place: &Place, elsewhere: bool) -> Next {
+        self.attempts += 1;
+        let entry = self.entry;
+        let begun = entry.clock.now();
+        let attempt = Attempt {
+            id: self.id.clone(),
+            service: self.service.clone(),
+            caller: entry.caller.clone(),
+            method: self.method.clone(),
+            path: self.path.clone(),
+            fields: self.fields.clone(),
+            length: self.body.len() as u64,
+            left_us: self.deadline.since(begun).saturating_sub(RETURN_US),
+            priority: self.route.priority,
+            elsewhere,
+        };
+        let until = entry.clock.instant(self.deadline);
+        let outcome = match place {
+            Place::Here => {
+                entry.peers.own.borrow_mut().sent();
+                let run = entry.guard.run(&attempt, self.body.clone());
+                let outcome = tokio::time::timeout_at(until, run).await;
+                entry.peers.own.borrow_mut().reported(entry.clock.now(), entry.guard.report());
+                outcome
+            }
+            Place::There(peer) => {
+                peer.view.borrow_mut().sent();
+                let run = self.send(peer, attempt);
+                tokio::time::timeout_at(until, run).await
+            }
+        };
+        let outcome = outcome.unwrap_or_else(|_| Outcome::Lost { detail: "late".to_owned() });
+        self.judge(place, outcome)
+    }
+
+    /// Has a peer run the attempt. A safe one is given up where nothing is heard of the peer.
+    async fn send(&self, peer: &Rc<Peer>, attempt: Attempt) -> Outcome {
+        let entry = self.entry;
+        let begun = entry.clock.now();
+        let mut sent = match entry.peers.send(peer, attempt, self.body.clone()).await {
+            Ok(sent) => sent,
+            Err(error) => {
+                tracing::debug!(request = self.id, %error, "entry: nothing was sent");
+                return Outcome::NotRun { refusal: Refusal::NoTarget, reached: false };
+            }
+        };
+        let silence = async {
+            tokio::time::sleep(SILENCE).await;
+            if peer.heard() > begun {
+                std::future::pending::<()>().await;
+            }
+            peer.view.borrow_mut().doubt(entry.clock.now());
+            if self.route.repeat == Repeat::Never {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            outcome = sent.outcome() => outcome,
+            () = silence => Outcome::Lost { detail: "the guard is silent".to_owned() },
+        }
+    }
+
+    /// Decides what follows an outcome.
+    fn judge(&mut self, place: &Place, outcome: Outcome) -> Next {
+        let now = self.entry.clock.now();
+        let success = match &outcome {
+            Outcome::Answer(answer) => Some(!answer.status.is_server_error()),
+            Outcome::Lost { .. } => Some(false),
+            Outcome::NotRun { reached: true, .. } => Some(false),
+            Outcome::NotRun { .. } => None,
+        };
+        if let Some(success) = success {
+            match place {
+                Place::Here => self.entry.peers.own.borrow_mut().ended(now, success),
+                Place::There(peer) => peer.view.borrow_mut().ended(now, success),
+            }
+        }
+        match outcome {
+            Outcome::Answer(answer) => {
+                self.reached += 1;
+                let mut services = self.entry.services.borrow_mut();
+                services.of(&self.service).answered(answer.took_us, answer.body.len());
+                if !answer.status.is_server_error() || self.route.repeat == Repeat::Never {
+                    return Next::Done(answer);
+                }
+                self.failure = Some(answer);
+                Next::Again
+            }
+            Outcome::NotRun { refusal, reached } => {
+                self.reached += u32::from(reached);
+                self.refusal = refusal;
+                Next::Again
+            }
+            Outcome::Lost { detail } => {
+                tracing::debug!(request = self.id, detail, "entry: an attempt was lost");
+                self.reached += 1;
+                self.lost = true;
+                match self.route.repeat {
+                    Repeat::Safe => Next::Again,
+                    Repeat::Never => Next::Over,
+                }
+            }
+        }
+    }
+
+    /// Builds the caller's answer, and logs what is worth it.
+    fn finish(&mut self, answer: Option<Answer>, id: Option<&HeaderValue>) -> Reply {
+        let answer = answer.or(self.failure.take());
+        let now = self.entry.clock.now();
+        let passed = answer.is_some();
+        let reply = match answer {
+            Some(answer) => pass(answer),
+            None => {
+                let (code, status) = self.failed(now);
+                refuse(code, status, id)
+            }
+        };
+        self.log(now, reply.status(), passed);
+        reply
+    }
+
+    /// Returns what a caller is told whose request got no answer.
+    fn failed(&self, now: Time) -> (Code, StatusCode) {
+        let is_late = now.after(RETURN_US) >= self.deadline;
+        match (self.lost, is_late) {
+            (true, true) => (Code::DeadlinePassed, StatusCode::GATEWAY_TIMEOUT),
+            (true, false) => (Code::TargetFailed, StatusCode::BAD_GATEWAY),
+            (false, _) => {
+                let code = match self.refusal {
+                    Refusal::NoTarget | Refusal::Misdirected => Code::NoTarget,
+                    Refusal::Leaving | Refusal::Out => Code::OutOfService,
+                    Refusal::Draining => Code::ShuttingDown,
+                    Refusal::Late => Code::DeadlinePassed,
+                    Refusal::Shed => Code::TargetRefused,
+                    Refusal::Quarantined => Code::Quarantined,
+                    Refusal::Cold | Refusal::Busy | Refusal::Slow => Code::TargetBusy,
+                    Refusal::Full => Code::Overload,
+                };
+                (code, StatusCode::SERVICE_UNAVAILABLE)
+            }
+        }
+    }
+
+    fn log(&self, now: Time, status: StatusCode, passed: bool) {
+        let entry = self.entry;
+        let took_us = now.since(self.arrived);
+        let outcome = match (passed, status.is_server_error()) {
+            (true, false) => "answered",
+            (true, true) => "failed",
+            (false, _) if status == StatusCode::SERVICE_UNAVAILABLE => "refused",
+            (false, _) => "lost",
+        };
+        entry.metrics.call(&self.service, outcome, took_us as f64 / 1e6);
+        let notable = outcome != "answered" || took_us > self.route.aim_us || self.attempts > 1;
+        let bucket = if notable { &entry.notable } else { &entry.ordinary };
+        if !bucket.borrow_mut().take(now, 1.0) {
+            entry.metrics.unlogged.inc();
+            return;
+        }
+        tracing::info!(
+            request = self.id,
+            route = &*self.route.name,
+            service = &*self.service,
+            status = status.as_u16(),
+            took_us,
+            attempts = self.attempts,
+            reached = self.reached,
+            tried = ?self.tried,
+            refusal = %self.refusal,
+            revision = entry.rules.revision(),
+            "entry: {outcome}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/entry/callers.rs
@@ -0,0 +1,175 @@
+//! Serves callers' connections.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::header::{self, HeaderValue};
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use platform::headers;
+use policy::Time;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use world::Code;
+
+use crate::entry::answers::{Reply, refuse};
+use crate::entry::socket::Socket;
+use crate::entry::state::Entry;
+
+/// Connections that wait to be accepted. Beyond these a caller's first packet is dropped and sent
+/// again only after a second.
+const BACKLOG: u32 = 1_024;
+/// The longest head before any limit is known, in bytes.
+const HEAD_BYTES: usize = 16 * 1024;
+/// The least size of a connection's buffer that the server accepts, in bytes.
+const LEAST_BUFFER: usize = 8 * 1024;
+/// The time without a request after which a connection is closed before any limit is known.
+const IDLE: Duration = Duration::from_secs(15);
+/// A connection is kept this much longer than callers may leave it idle, so that none is closed
+/// under a request.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+/// The longest body before any limit is known, in bytes.
+const BODY_BYTES: u64 = 64 * 1024 * 1024;
+/// The longest wait for a body whose caller sets no time.
+const BODY_WAIT_US: u64 = 30_000_000;
+
+/// Binds a listener.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// The server of callers. Closing it ends idle connections, and others after their answer.
+#[derive(Debug)]
+pub struct Callers {
+    closing: watch::Sender<bool>,
+    accepting: JoinHandle<()>,
+}
+
+impl Callers {
+    /// Serves callers on a listener.
+    pub fn spawn(listener: TcpListener, entry: Rc<Entry>) -> Callers {
+        let (closing, closed) = watch::channel(false);
+        let accepting = tokio::task::spawn_local(accept(listener, entry, closed));
+        Callers { closing, accepting }
+    }
+
+    /// Accepts no connection any more, and ends those that are open.
+    pub fn close(&self) {
+        self.accepting.abort();
+        self.closing.send_replace(true);
+    }
+
+    /// Waits until every connection has ended.
+    pub async fn ended(&self) {
+        self.closing.closed().await;
+    }
+}
+
+async fn accept(listener: TcpListener, entry: Rc<Entry>, closing: watch::Receiver<bool>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let serve = serve(stream, entry.clone(), closing.clone());
+                tokio::task::spawn_local(serve);
+            }
+            Err(error) => {
+                tracing::warn!(%error, "callers: a connection was not accepted");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, entry: Rc<Entry>, mut closing: watch::Receiver<bool>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "callers: a connection ended at once");
+        return;
+    }
+    let socket = Socket::new(stream);
+    let limits = entry.rules.current().map(|rules| rules.routing.limits);
+    let head_bytes = limits.map_or(HEAD_BYTES, |limits| limits.head_bytes as usize);
+    let idle = limits.map_or(IDLE, |limits| Duration::from_micros(limits.idle_us));
+    let watched = socket.clone();
+    let service = service_fn(move |request| {
+        let (entry, watched) = (entry.clone(), watched.clone());
+        async move {
+            let answer = answer(&entry, request);
+            tokio::select! {
+                reply = answer => Ok::<_, Infallible>(close_if_draining(&entry, reply)),
+                () = watched.closed() => std::future::pending().await,
+            }
+        }
+    });
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle + IDLE_SLACK)
+        .max_buf_size(head_bytes.max(LEAST_BUFFER))
+        .pipeline_flush(true)
+        .serve_connection(TokioIo::new(socket), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        // An error means that the node ends.
+        _ = closing.wait_for(|closing| *closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(%error, "callers: a connection broke");
+    }
+}
+
+fn close_if_draining(entry: &Entry, mut reply: Reply) -> Reply {
+    if entry.is_draining() {
+        reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+async fn answer(entry: &Rc<Entry>, request: Request<Incoming>) -> Reply {
+    let _busy = entry.busy();
+    let arrived = entry.clock.now();
+    let (head, body) = request.into_parts();
+    let id = head.headers.get(headers::REQUEST_ID).cloned();
+    let limits = entry.rules.current().map(|rules| rules.routing.limits);
+    let most = limits.map_or(BODY_BYTES, |limits| limits.body_bytes);
+    let wait_us = timeout_us(&head.headers).unwrap_or(BODY_WAIT_US);
+    let until = entry.clock.instant(arrived.after(wait_us));
+    let collected = Limited::new(body, most as usize).collect();
+    let body = match tokio::time::timeout_at(until, collected).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            return refuse(Code::BadRequest, StatusCode::PAYLOAD_TOO_LARGE, id.as_ref());
+        }
+        Ok(Err(error)) => {
+            tracing::debug!(%error, "callers: a body was cut");
+            return refuse(Code::BadRequest, StatusCode::BAD_REQUEST, id.as_ref());
+        }
+        Err(_) => return refuse(Code::BadRequest, StatusCode::REQUEST_TIMEOUT, id.as_ref()),
+    };
+    entry.serve(&head, body, arrived).await
+}
+
+/// Reads how long the caller will wait, in microseconds.
+pub fn timeout_us(headers: &HeaderMap) -> Option<u64> {
+    let text = headers.get(headers::TIMEOUT_MS)?.to_str().ok()?;
+    let ms: f64 = text.trim().parse().ok()?;
+    (ms >= 0.0).then_some((ms * 1e3) as u64)
+}
+
+/// Returns when a request that arrived at `arrived` must be answered.
+pub fn deadline(arrived: Time, headers: &HeaderMap, route_us: u64) -> Time {
+    let caller_us = timeout_us(headers).unwrap_or(u64::MAX);
+    arrived.after(caller_us.min(route_us))
+}
--- /dev/null
+++ b/crates/sidecar/src/entry/mod.rs
@@ -0,0 +1,11 @@
+//! The entry: takes the requests that begin on this VM and has each run by one target.
+
+mod answers;
+mod call;
+mod callers;
+mod service;
+mod socket;
+mod state;
+
+pub use callers::{Callers, bind};
+pub use state::Entry;
--- /dev/null
+++ b/crates/sidecar/src/guard/lives.rs
@@ -0,0 +1,68 @@
+//! Which life of the target is current, and which are over.
+
+use platform::heartbeat::Report;
+use wire::link::Life;
+
+/// Lives that are remembered as over. A delayed heartbeat comes seconds late, not many lives late.
+const REMEMBERED: usize = 16;
+
+/// What a heartbeat means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Beat {
+    /// It is older than what is known.
+    Old,
+    /// It is of the life that is known.
+    Current,
+    /// A new life began.
+    New,
+}
+
+/// The lives of the targets at this VM.
+#[derive(Clone, Debug, Default)]
+pub struct Lives {
+    current: Option<(Life, u64)>,
+    /// Lives that left. Nothing is sent to them again.
+    over: Vec<Life>,
+}
+
+impl Lives {
+    /// Takes in a heartbeat.
+    pub fn heard(&mut self, report: &Report) -> Beat {
+        let life = Life { id: report.id.clone(), born: report.born };
+        match &mut self.current {
+            Some((known, sequence)) if *known == life => {
+                if report.sequence <= *sequence {
+                    return Beat::Old;
+                }
+                *sequence = report.sequence;
+                Beat::Current
+            }
+            Some((known, _)) if life.born < known.born => Beat::Old,
+            _ => {
+                self.current = Some((life, report.sequence));
+                Beat::New
+            }
+        }
+    }
+
+    /// Returns the current life.
+    pub fn current(&self) -> Option<&Life> {
+        self.current.as_ref().map(|(life, _)| life)
+    }
+
+    /// Notes that a life left.
+    pub fn left(&mut self, life: Life) {
+        if self.is_over(&life) {
+            return;
+        }
+        if self.over.len() >= REMEMBERED {
+            self.over.remove(0);
+        }
+        self.over.push(life);
+    }
+
+    /// Returns whether a life left.
+    pub fn is_over(&self, life: &Life) -> bool {
+        self.over.contains(life)
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/guard/state.rs
@@ -0,0 +1,453 @@
+//! The guard's state: the target, what runs and what waits.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use platform::heartbeat::Report as Heartbeat;
+use platform::settings::Cold;
+use policy::{Admission, Admitted, Offering, Refusal, Report, Time};
+use runtime::Clock;
+use tokio::sync::{Notify, oneshot, watch};
+use wire::link::{Life, Status};
+use world::Name;
+
+use crate::configuration::Rules;
+use crate::guard::lives::{Beat, Lives};
+use crate::guard::pool::Pool;
+use crate::guard::probe;
+use crate::metrics::Metrics;
+
+/// Share of the bound beyond a cold target's rate that is used; the rest is left for what is
+/// counted otherwise at the target.
+const COLD_SHARE: f64 = 0.4;
+
+/// The target that is known.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its life.
+    pub life: Life,
+    /// Its service.
+    pub service: Name,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+}
+
+/// Told whether a request runs.
+type Owner = oneshot::Sender<Result<(), Refusal>>;
+
+#[derive(Debug, Default)]
+pub(super) struct State {
+    pub(super) admission: Admission,
+    pub(super) target: Option<Target>,
+    lives: Lives,
+    /// Why nothing is sent to the target, as far as the target goes.
+    closed: Option<Refusal>,
+    /// Owners of requests that wait, sorted by id.
+    owners: Vec<(u64, Owner)>,
+    next: u64,
+}
+
+/// The guard of the target on this VM.
+#[derive(Debug)]
+pub struct Guard {
+    pub(super) state: RefCell<State>,
+    pub(super) clock: Clock,
+    pub(super) rules: Rc<Rules>,
+    pub(super) pool: Pool,
+    pub(super) metrics: Rc<Metrics>,
+    data_centre: Name,
+    cold: Cell<Cold>,
+    /// The node will soon drain.
+    leaving: Cell<bool>,
+    /// The data centre was out when that was last looked at.
+    out: Cell<bool>,
+    draining: Cell<bool>,
+    /// A probe is under way.
+    pub(super) probing: Cell<bool>,
+    /// Told when a request begins to wait.
+    waiting: Notify,
+    /// Whether the target takes requests, for those who tell other nodes.
+    changed: watch::Sender<u64>,
+}
+
+impl Guard {
+    /// Opens the guard of a VM whose target is not known yet.
+    pub fn open(
+        clock: Clock,
+        rules: Rc<Rules>,
+        metrics: Rc<Metrics>,
+        data_centre: Name,
+        cold: Cold,
+    ) -> Rc<Guard> {
+        let (changed, _) = watch::channel(0);
+        Rc::new(Guard {
+            state: RefCell::default(),
+            clock,
+            rules,
+            pool: Pool::default(),
+            metrics,
+            data_centre,
+            cold: Cell::new(cold),
+            leaving: Cell::new(false),
+            out: Cell::new(false),
+            draining: Cell::new(false),
+            probing: Cell::new(false),
+            waiting: Notify::new(),
+            changed,
+        })
+    }
+
+    /// Returns a receiver that is told whenever others must know of a change at once.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Returns what other nodes are told.
+    pub fn status(&self) -> Status {
+        let report = self.report();
+        let state = self.state.borrow();
+        let current = state.lives.current().filter(|life| state.lives.is_over(life));
+        Status {
+            service: state.target.as_ref().map(|target| target.service.clone()),
+            report,
+            leaving: current.cloned(),
+            revision: self.rules.revision(),
+        }
+    }
+
+    /// Returns the target's load.
+    pub fn report(&self) -> Report {
+        let now = self.clock.now();
+        let open = self.refuses().is_none() && !self.leaving.get();
+        let admission = &mut self.state.borrow_mut().admission;
+        Report {
+            open,
+            free: admission.free(now).clamp(i32::from(i16::MIN), i32::from(i16::MAX)) as i16,
+            slots: admission.slots().min(u32::from(u16::MAX)) as u16,
+            slowness: (admission.slowness(now) * 10.0).clamp(0.0, 255.0) as u8,
+        }
+    }
+
+    /// Returns why the guard takes nothing, where it does not.
+    pub fn refuses(&self) -> Option<Refusal> {
+        let state = self.state.borrow();
+        match &state.target {
+            _ if self.draining.get() => Some(Refusal::Draining),
+            None => Some(Refusal::NoTarget),
+            Some(_) if self.is_out() => Some(Refusal::Out),
+            Some(_) => state.closed,
+        }
+    }
+
+    /// Returns whether the target is one of a service and takes requests.
+    pub fn takes(&self, service: &str) -> bool {
+        let is_its = |target: &Target| *target.service == *service;
+        self.refuses().is_none() && self.state.borrow().target.as_ref().is_some_and(is_its)
+    }
+
+    /// Returns whether this node's data centre is out of service.
+    pub fn is_out(&self) -> bool {
+        self.rules.current().is_some_and(|rules| rules.is_out(&self.data_centre))
+    }
+
+    /// Returns how many requests run or wait.
+    pub fn pending(&self) -> usize {
+        let state = self.state.borrow();
+        state.admission.running() as usize + state.admission.waiting()
+    }
+
+    /// Tells other nodes that the guard will soon take nothing.
+    pub fn announce_drain(&self) {
+        self.leaving.set(true);
+        self.tell();
+    }
+
+    /// Takes nothing any more.
+    pub fn drain(&self) {
+        self.draining.set(true);
+        self.refuse_waiting(Refusal::Draining);
+        self.tell();
+    }
+
+    /// Takes over a changed bound on what a cold target is sent.
+    pub fn set_cold(&self, cold: Cold) {
+        self.cold.set(cold);
+    }
+
+    /// Takes in a heartbeat of the target.
+    pub fn heartbeat(self: &Rc<Guard>, beat: Heartbeat) {
+        let now = self.clock.now();
+        let life = Life { id: beat.id.clone(), born: beat.born };
+        let mut state = self.state.borrow_mut();
+        let meaning = state.lives.heard(&beat);
+        if meaning == Beat::Old {
+            tracing::debug!(id = &*beat.id, sequence = beat.sequence, "target: a late heartbeat");
+            return;
+        }
+        let was = (state.target.as_ref().map(|target| target.address), state.closed);
+        if meaning == Beat::New {
+            tracing::info!(
+                id = &*beat.id,
+                born = beat.born,
+                service = &*beat.service,
+                slots = beat.slots,
+                cold_us = beat.cold_us,
+                "target: a new life"
+            );
+            state.admission.set_warmup(now, 0);
+            state.closed = None;
+            self.pool.clear();
+        }
+        state.target =
+            Some(Target { life: life.clone(), service: beat.service.clone(), address: beat.address });
+        state.admission.set_slots(beat.slots);
+        if beat.cold_us > 0 {
+            let most = self.cold_most(&beat.service);
+            state.admission.set_warmup(now.after(beat.cold_us), most);
+        }
+        if beat.leaving && !state.lives.is_over(&life) {
+            tracing::info!(id = &*life.id, sequence = beat.sequence, "target: leaving");
+            state.lives.left(life.clone());
+        }
+        if state.lives.is_over(&life) {
+            state.closed = Some(Refusal::Leaving);
+        } else if state.closed == Some(Refusal::NoTarget) && meaning == Beat::Current {
+            // It lives after all; the probe under way says whether it is cold.
+            state.closed = None;
+        }
+        let changed = was != (Some(beat.address), state.closed) || meaning == Beat::New;
+        drop(state);
+        if changed {
+            self.settle();
+            self.tell();
+        }
+    }
+
+    /// Takes in that a target is gone or about to go.
+    pub fn deregister(&self, id: Name, born: Option<u64>) {
+        let mut state = self.state.borrow_mut();
+        let current = state.lives.current().filter(|life| life.id == id).cloned();
+        let life = match (current, born) {
+            (Some(life), None) => Some(life),
+            (Some(life), Some(born)) if life.born == born => Some(life),
+            (_, Some(born)) => {
+                state.lives.left(Life { id: id.clone(), born });
+                None
+            }
+            (None, None) => None,
+        };
+        let Some(life) = life else {
+            tracing::info!(id = &*id, "target: a life that is not known deregistered");
+            return;
+        };
+        tracing::info!(id = &*id, "target: deregistered");
+        state.lives.left(life);
+        state.closed = Some(Refusal::Leaving);
+        drop(state);
+        self.settle();
+        self.tell();
+    }
+
+    /// Takes in what an earlier life of this node acknowledged about a leaving target.
+    pub fn remember(&self, life: Life) {
+        let mut state = self.state.borrow_mut();
+        let is_current = state.lives.current() == Some(&life);
+        state.lives.left(life);
+        if is_current {
+            state.closed = Some(Refusal::Leaving);
+        }
+    }
+
+    /// Refuses what waits where the target takes nothing, and starts what can run otherwise.
+    pub fn settle(&self) {
+        match self.refuses() {
+            Some(refusal) => self.refuse_waiting(refusal),
+            None => self.start(),
+        }
+    }
+
+    /// Takes in a changed ruleset: the data centre may be out, or back in.
+    pub fn configured(self: &Rc<Guard>) {
+        let out = self.is_out();
+        let was = self.out.replace(out);
+        if was == out {
+            return;
+        }
+        tracing::info!(out, "guard: the data centre's service changed");
+        if was && !out {
+            // It may have turned cold while it had no work.
+            self.suspect("back in service");
+        }
+        self.settle();
+        self.tell();
+    }
+
+    /// Sends nothing until a probe has found the target, since it may have started anew.
+    pub fn suspect(self: &Rc<Guard>, reason: &str) {
+        {
+            let mut state = self.state.borrow_mut();
+            if state.target.is_none() || state.closed.is_some() {
+                return;
+            }
+            state.closed = Some(Refusal::NoTarget);
+        }
+        tracing::info!(reason, "target: to be probed");
+        probe::spawn(self);
+    }
+
+    /// Takes in that a probe found the target, cold for `cold_us` microseconds.
+    pub(super) fn found(&self, life: &Life, cold_us: u64) {
+        let mut state = self.state.borrow_mut();
+        if state.lives.current() != Some(life) || state.closed != Some(Refusal::NoTarget) {
+            return;
+        }
+        state.closed = None;
+        if cold_us > 0
+            && let Some(service) = state.target.as_ref().map(|target| target.service.clone())
+        {
+            let until = self.clock.now().after(cold_us);
+            state.admission.set_warmup(until, self.cold_most(&service));
+        }
+        drop(state);
+        tracing::info!(cold_us, "target: found");
+        self.settle();
+        self.tell();
+    }
+
+    /// Asks for a slot. Dropping it gives it back.
+    pub(super) async fn admit(
+        self: &Rc<Guard>,
+        priority: u32,
+        deadline: Time,
+        elsewhere: bool,
+    ) -> Result<Slot, Refusal> {
+        let mut slot = self.offer(priority, deadline, elsewhere)?;
+        if let Some(decision) = &mut slot.decision {
+            self.waiting.notify_one();
+            let decided = decision.await.unwrap_or(Err(Refusal::Busy));
+            slot.decision = None;
+            slot.runs = decided.is_ok();
+            decided?;
+        }
+        Ok(slot)
+    }
+
+    fn offer(
+        self: &Rc<Guard>,
+        priority: u32,
+        deadline: Time,
+        elsewhere: bool,
+    ) -> Result<Slot, Refusal> {
+        let mut state = self.state.borrow_mut();
+        state.next += 1;
+        let id = state.next;
+        let offering = Offering { id, priority, deadline, elsewhere };
+        let mut slot = Slot { guard: self.clone(), id, runs: false, decision: None, took_us: None };
+        match state.admission.offer(self.clock.now(), offering) {
+            Admitted::Run => slot.runs = true,
+            Admitted::Wait => {
+                let (owner, decision) = oneshot::channel();
+                state.owners.push((id, owner));
+                slot.decision = Some(decision);
+            }
+            Admitted::Refuse(refusal) => {
+                // The slot's drop looks at the state.
+                drop(state);
+                return Err(refusal);
+            }
+        }
+        Ok(slot)
+    }
+
+    /// Starts what can run, and refuses what can no longer.
+    pub(super) fn start(&self) {
+        let mut state = self.state.borrow_mut();
+        let decided = state.admission.next(self.clock.now());
+        state.decide(decided);
+    }
+
+    /// Does what is due by time alone, for as long as the process runs.
+    pub async fn tick(self: Rc<Guard>) {
+        loop {
+            let due = self.state.borrow().admission.due(self.clock.now());
+            match due {
+                Time::NEVER => self.waiting.notified().await,
+                due => {
+                    tokio::select! {
+                        () = tokio::time::sleep_until(self.clock.instant(due)) => {}
+                        () = self.waiting.notified() => continue,
+                    }
+                }
+            }
+            self.start();
+        }
+    }
+
+    /// Returns what a cold target of a service is sent in any second.
+    fn cold_most(&self, service: &str) -> u32 {
+        let rules = self.rules.current();
+        let rate = rules.and_then(|rules| Some(rules.routing.service(service)?.cold_rate));
+        let rate = rate.unwrap_or_default();
+        let Cold { factor, slack } = self.cold.get();
+        let beyond = rate * (factor - 1.0) + slack;
+        (rate + beyond * COLD_SHARE) as u32
+    }
+
+    fn refuse_waiting(&self, refusal: Refusal) {
+        let mut state = self.state.borrow_mut();
+        let decided = state.admission.clear(refusal);
+        state.decide(decided);
+    }
+
+    fn tell(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+}
+
+impl State {
+    fn decide(&mut self, decided: Vec<(u64, Admitted)>) {
+        for (id, admitted) in decided {
+            let Ok(at) = self.owners.binary_search_by_key(&id, |(id, _)| *id) else { continue };
+            let (_, owner) = self.owners.remove(at);
+            let decision = match admitted {
+                Admitted::Refuse(refusal) => Err(refusal),
+                _ => Ok(()),
+            };
+            // An owner that is gone gives its slot back itself.
+            let _ = owner.send(decision);
+        }
+    }
+}
+
+/// A slot of the target, asked for or held. Dropping it gives it back.
+#[derive(Debug)]
+pub(super) struct Slot {
+    guard: Rc<Guard>,
+    id: u64,
+    /// Whether it holds a slot.
+    runs: bool,
+    /// Told whether it will hold one, while that is not known here.
+    decision: Option<oneshot::Receiver<Result<(), Refusal>>>,
+    /// How long the target took, where it answered, in microseconds.
+    pub(super) took_us: Option<u64>,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let decided = self.decision.as_mut().map(oneshot::Receiver::try_recv);
+        let started = matches!(decided, Some(Ok(Ok(()))));
+        let mut state = self.guard.state.borrow_mut();
+        if self.runs || started {
+            let now = self.guard.clock.now();
+            state.admission.done(now, self.took_us);
+            drop(state);
+            self.guard.start();
+        } else if self.decision.is_some() {
+            state.admission.withdraw(self.id);
+            if let Ok(at) = state.owners.binary_search_by_key(&self.id, |(id, _)| *id) {
+                state.owners.remove(at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/peers/directory.rs
@@ -0,0 +1,156 @@
+//! What is known of each other node.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use policy::{Time, View};
+use quinn::Connection;
+use tokio::sync::Notify;
+use wire::link::{Hello, Life, Node, Status};
+use world::Name;
+
+/// Another node.
+#[derive(Debug)]
+pub struct Peer {
+    /// What it is.
+    node: RefCell<Node>,
+    /// The newest link that is not known to be closed.
+    link: RefCell<Option<Connection>>,
+    /// The service of its target, while one is known.
+    service: RefCell<Option<Name>>,
+    /// What is known of its target.
+    pub view: RefCell<View>,
+    /// When anything came from it last.
+    heard: Cell<Time>,
+    /// The target that it said to be leaving last.
+    leaving: RefCell<Option<Life>>,
+    /// The revision that it said to have.
+    revision: Cell<u64>,
+    /// Told when the link changes.
+    pub(super) changed: Notify,
+}
+
+impl Peer {
+    pub(super) fn new(node: Node) -> Peer {
+        Peer {
+            node: RefCell::new(node),
+            link: RefCell::default(),
+            service: RefCell::default(),
+            view: RefCell::default(),
+            heard: Cell::default(),
+            leaving: RefCell::default(),
+            revision: Cell::new(0),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns what it is.
+    pub fn node(&self) -> Node {
+        self.node.borrow().clone()
+    }
+
+    /// Returns whether it has this name.
+    pub fn is(&self, name: &str) -> bool {
+        *self.node.borrow().name == *name
+    }
+
+    /// Returns the link to it, where one is open.
+    pub fn link(&self) -> Option<Connection> {
+        let link = self.link.borrow();
+        link.as_ref().filter(|link| link.close_reason().is_none()).cloned()
+    }
+
+    /// Returns whether its target is one of a service and takes requests.
+    pub fn serves(&self, service: &str) -> bool {
+        let is_open = self.view.borrow().report.open && self.link().is_some();
+        is_open && self.service.borrow().as_deref() == Some(service)
+    }
+
+    /// Returns its data centre.
+    pub fn data_centre(&self) -> Name {
+        self.node.borrow().data_centre.clone()
+    }
+
+    /// Returns when anything came from it last.
+    pub fn heard(&self) -> Time {
+        self.heard.get()
+    }
+
+    /// Notes that something came from it.
+    pub(super) fn note_heard(&self, now: Time) {
+        self.heard.set(now);
+    }
+
+    /// Returns the target that it said to be leaving last.
+    pub(super) fn leaving(&self) -> Option<Life> {
+        self.leaving.borrow().clone()
+    }
+
+    /// Returns the revision that it said to have.
+    pub(super) fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Takes over what a node said of itself, and its link. Returns the link that this replaces.
+    pub(super) fn greeted(&self, now: Time, hello: &Hello, link: Connection) -> Option<Connection> {
+        let restarted = hello.node.started > self.node.borrow().started;
+        *self.node.borrow_mut() = hello.node.clone();
+        self.say(now, &hello.status);
+        let old = self.link.borrow_mut().replace(link);
+        self.changed.notify_waiters();
+        // The process at the other end of the old link is gone.
+        if restarted && let Some(old) = &old {
+            old.close(0u32.into(), b"restarted");
+        }
+        old.filter(|old| old.close_reason().is_none())
+    }
+
+    /// Takes in what it said of itself.
+    pub(super) fn say(&self, now: Time, status: &Status) {
+        self.note_heard(now);
+        self.revision.set(status.revision);
+        if status.leaving.is_some() {
+            self.leaving.borrow_mut().clone_from(&status.leaving);
+        }
+        if *self.service.borrow() != status.service {
+            self.service.borrow_mut().clone_from(&status.service);
+        }
+        self.view.borrow_mut().reported(now, status.report);
+    }
+}
+
+/// The other nodes, sorted by name.
+#[derive(Debug, Default)]
+pub(super) struct Directory {
+    peers: RefCell<Vec<Rc<Peer>>>,
+}
+
+impl Directory {
+    /// Returns all of them.
+    pub(super) fn all(&self) -> Vec<Rc<Peer>> {
+        self.peers.borrow().clone()
+    }
+
+    /// Returns a node, and whether it is new.
+    pub(super) fn find_or_add(&self, node: &Node) -> (Rc<Peer>, bool) {
+        let mut peers = self.peers.borrow_mut();
+        match peers.binary_search_by(|peer| peer.node.borrow().name.cmp(&node.name)) {
+            Ok(at) => (peers[at].clone(), false),
+            Err(at) => {
+                let peer = Rc::new(Peer::new(node.clone()));
+                peers.insert(at, peer.clone());
+                (peer, true)
+            }
+        }
+    }
+
+    /// Takes a node out.
+    pub(super) fn remove(&self, name: &str) {
+        self.peers.borrow_mut().retain(|peer| !peer.is(name));
+    }
+
+    /// Calls `look` with each of them.
+    pub(super) fn each(&self, mut look: impl FnMut(&Rc<Peer>)) {
+        self.peers.borrow().iter().for_each(&mut look);
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/peers/links.rs
@@ -0,0 +1,291 @@
+//! Links to other nodes: one QUIC connection to each.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use policy::{Time, View};
+use quinn::{ClientConfig, Connection, Endpoint, EndpointConfig, TokioRuntime};
+use rand::Rng;
+use runtime::Clock;
+use wire::link::{Datagram, Frame, Hello, Node, Reply};
+use wire::tls::{self, Identity, SERVER_NAME, Timing, Trust};
+use world::Name;
+
+use crate::configuration::Rules;
+use crate::guard::Guard;
+use crate::peers::directory::{Directory, Peer};
+use crate::peers::serve;
+
+/// A link on which nothing came for 2 s is closed: half of `contactS`, so that a peer that was cut
+/// off is found again within it. A packet every 500 ms keeps it open.
+const TIMING: Timing =
+    Timing { idle: Duration::from_millis(2_000), keep_alive: Duration::from_millis(500) };
+/// The longest wait for a handshake and the peer's word on itself.
+const CONNECT: Duration = Duration::from_millis(1_000);
+/// The pause after a failed attempt to link. It doubles with each further one.
+const PAUSE: Duration = Duration::from_millis(200);
+/// The longest pause between two attempts to link.
+const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
+/// A node without a link for this long is forgotten, in microseconds.
+const FORGET_US: u64 = 60_000_000;
+/// A replaced link is closed after the longest calls on it have ended.
+const LINGER: Duration = Duration::from_secs(10);
+/// Time between two reports to every peer: answers carry reports too, and these are for peers to
+/// which none go.
+const REPORT: Duration = Duration::from_millis(500);
+/// Time given to the store to tell of a revision before a peer is asked for it.
+const FETCH_DELAY: Duration = Duration::from_millis(150);
+
+/// What a node is told about itself.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The node as others know it.
+    pub node: Node,
+    /// The socket at which others reach it.
+    pub bind: SocketAddr,
+}
+
+/// The other nodes and the links to them.
+#[derive(Debug)]
+pub struct Peers {
+    pub(super) me: Node,
+    endpoint: Endpoint,
+    client: ClientConfig,
+    pub(super) clock: Clock,
+    pub(super) directory: Directory,
+    pub(super) guard: Rc<Guard>,
+    pub(super) rules: Rc<Rules>,
+    /// What is known of the node's own target, as for those of others.
+    pub own: std::cell::RefCell<View>,
+    /// The most nodes that were known at once.
+    most: std::cell::Cell<usize>,
+    /// A ruleset is being asked for.
+    fetching: std::cell::Cell<bool>,
+}
+
+impl Peers {
+    /// Opens the links and their tasks.
+    pub fn spawn(
+        settings: Settings,
+        clock: Clock,
+        rules: Rc<Rules>,
+        guard: Rc<Guard>,
+    ) -> std::io::Result<Rc<Peers>> {
+        // No file holds a certificate on these VMs, and a node that starts while the store is away
+        // must still be let in by its peers; see docs/DESIGN.md.
+        let identity = tls::open(&Trust::Development, TIMING).map_err(std::io::Error::other)?;
+        let Identity { server, client } = identity;
+        let socket = UdpSocket::bind(settings.bind)?;
+        let runtime = Arc::new(TokioRuntime);
+        let endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)?;
+        let peers = Rc::new(Peers {
+            me: settings.node,
+            endpoint,
+            client,
+            clock,
+            directory: Directory::default(),
+            guard,
+            rules,
+            own: std::cell::RefCell::default(),
+            most: std::cell::Cell::new(1),
+            fetching: std::cell::Cell::new(false),
+        });
+        tokio::task::spawn_local(serve::accept(peers.clone(), peers.endpoint.clone()));
+        tokio::task::spawn_local(peers.clone().report());
+        tokio::task::spawn_local(peers.clone().tell_changes());
+        Ok(peers)
+    }
+
+    /// Returns this node as others know it.
+    pub fn me(&self) -> &Node {
+        &self.me
+    }
+
+    /// Calls `look` with each other node.
+    pub fn each(&self, look: impl FnMut(&Rc<Peer>)) {
+        self.directory.each(look);
+    }
+
+    /// Returns the most nodes that were known at once, this one among them.
+    pub fn most(&self) -> usize {
+        self.most.get()
+    }
+
+    /// Learns of a node, and keeps a link to it from then on.
+    pub fn learn(self: &Rc<Peers>, node: &Node) {
+        if node.name == self.me.name {
+            return;
+        }
+        let (peer, new) = self.directory.find_or_add(node);
+        if new {
+            self.most.set(self.most.get().max(self.directory.all().len() + 1));
+            tokio::task::spawn_local(self.clone().keep(peer));
+        }
+    }
+
+    /// Keeps a link to a peer until it was without one for long.
+    async fn keep(self: Rc<Peers>, peer: Rc<Peer>) {
+        let mut pause = PAUSE;
+        let mut linked = self.clock.now();
+        while self.clock.now().since(linked) < FORGET_US {
+            if let Some(link) = peer.link() {
+                let reason = link.closed().await;
+                tracing::info!(peer = &*peer.node().name, %reason, "peers: link lost");
+                pause = PAUSE;
+                linked = self.clock.now();
+                // Both ends see the loss; the second name waits for the first one's attempt.
+                if self.me.name > peer.node().name {
+                    self.rest(&peer, PAUSE).await;
+                }
+                continue;
+            }
+            match tokio::time::timeout(CONNECT, self.connect(&peer)).await {
+                Ok(Ok(())) => pause = PAUSE,
+                Ok(Err(error)) => tracing::debug!(%error, "peers: no link"),
+                Err(_) => tracing::debug!("peers: no link in time"),
+            }
+            if peer.link().is_none() {
+                let spread = rand::rng().random_range(0.75..1.25);
+                self.rest(&peer, pause.mul_f64(spread)).await;
+                pause = (pause * 2).min(PAUSE_LIMIT);
+            }
+        }
+        tracing::info!(peer = &*peer.node().name, "peers: forgotten");
+        self.directory.remove(&peer.node().name);
+    }
+
+    /// Waits, or until the peer links itself.
+    async fn rest(&self, peer: &Peer, pause: Duration) {
+        let _ = tokio::time::timeout(pause, peer.changed.notified()).await;
+    }
+
+    async fn connect(self: &Rc<Peers>, peer: &Rc<Peer>) -> Result<(), String> {
+        let address = peer.node().address;
+        let connecting = self.endpoint.connect_with(self.client.clone(), address, SERVER_NAME);
+        let link = connecting.map_err(|error| error.to_string())?;
+        let link = link.await.map_err(|error| error.to_string())?;
+        let (mut send, mut receive) = link.open_bi().await.map_err(|error| error.to_string())?;
+        let hello = Frame::Hello(Box::new(self.hello(Some(peer))));
+        wire::write(&mut send, &hello).await.map_err(|error| error.to_string())?;
+        let _ = send.finish();
+        let hello: Hello = wire::read(&mut receive).await.map_err(|error| error.to_string())?;
+        self.greeted(&hello, link.clone());
+        serve::spawn(self, peer.clone(), link);
+        Ok(())
+    }
+
+    /// Returns what this node says of itself to a peer.
+    pub(super) fn hello(&self, peer: Option<&Peer>) -> Hello {
+        let known = self.directory.all().iter().map(|peer| peer.node()).collect();
+        Hello {
+            node: self.me.clone(),
+            status: self.guard.status(),
+            known,
+            leaving: peer.and_then(Peer::leaving),
+        }
+    }
+
+    /// Takes in a peer's hello on a link.
+    pub(super) fn greeted(self: &Rc<Peers>, hello: &Hello, link: Connection) -> Rc<Peer> {
+        self.learn(&hello.node);
+        let (peer, _) = self.directory.find_or_add(&hello.node);
+        let now = self.clock.now();
+        if let Some(old) = peer.greeted(now, hello, link) {
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(LINGER).await;
+                old.close(0u32.into(), b"replaced");
+            });
+        }
+        if let Some(life) = &hello.leaving {
+            self.guard.remember(life.clone());
+        }
+        hello.known.iter().for_each(|node| self.learn(node));
+        tracing::info!(
+            peer = &*hello.node.name,
+            service = hello.status.service.as_deref(),
+            started = hello.node.started,
+            "peers: linked"
+        );
+        self.compare(&peer);
+        peer
+    }
+
+    /// Takes in what a peer said of itself.
+    pub(super) fn said(self: &Rc<Peers>, peer: &Rc<Peer>, status: &wire::link::Status) {
+        peer.say(self.clock.now(), status);
+        self.compare(peer);
+    }
+
+    /// Asks a peer for its ruleset where it is newer and the store does not tell of it soon.
+    fn compare(self: &Rc<Peers>, peer: &Rc<Peer>) {
+        if peer.revision() <= self.rules.revision() || self.fetching.replace(true) {
+            return;
+        }
+        let (peers, peer) = (self.clone(), peer.clone());
+        tokio::task::spawn_local(async move {
+            if peers.rules.revision() > 0 {
+                tokio::time::sleep(FETCH_DELAY).await;
+            }
+            if peer.revision() > peers.rules.revision()
+                && let Ok(Reply::Ruleset(Some(ruleset))) = peers.ask(&peer, &Frame::Fetch).await
+            {
+                peers.rules.offer(*ruleset, &peer.node().name);
+            }
+            peers.fetching.set(false);
+        });
+    }
+
+    /// Reports to every peer from time to time.
+    async fn report(self: Rc<Peers>) {
+        loop {
+            tokio::time::sleep(REPORT).await;
+            let status = self.guard.status();
+            self.own.borrow_mut().reported(self.clock.now(), status.report);
+            let Ok(datagram) = wire::encode(&Datagram::Status(Box::new(status))) else { continue };
+            let datagram = bytes::Bytes::from(datagram);
+            self.directory.each(|peer| {
+                if let Some(link) = peer.link() {
+                    // A full or closing link loses a report like any other packet.
+                    let _ = link.send_datagram(datagram.clone());
+                }
+            });
+        }
+    }
+
+    /// Tells every peer at once of what they must not learn late.
+    async fn tell_changes(self: Rc<Peers>) {
+        let mut target = self.guard.subscribe();
+        let mut revision = self.rules.subscribe();
+        loop {
+            tokio::select! {
+                _ = target.changed() => {}
+                _ = revision.changed() => self.guard.configured(),
+            }
+            let status = self.guard.status();
+            self.own.borrow_mut().reported(self.clock.now(), status.report);
+            let frame = Rc::new(Frame::Status(Box::new(status)));
+            for peer in self.directory.all() {
+                let (peers, frame) = (self.clone(), frame.clone());
+                tokio::task::spawn_local(async move {
+                    if peer.link().is_some()
+                        && let Err(error) = peers.ask(&peer, &frame).await
+                    {
+                        tracing::debug!(%error, "peers: a change was not told");
+                    }
+                });
+            }
+        }
+    }
+
+    /// Returns whether a data centre is that of this node.
+    pub fn is_near(&self, data_centre: &Name) -> bool {
+        self.me.data_centre == *data_centre
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+}
--- a/crates/platform/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use platform::{Condition, Dynamo, Error, Fake, Row, Settings, Table, Write};
+use table::{Condition, Dynamo, Error, Fake, Row, Settings, Table, Write};
 use testkit::table::{Faults, Table as StandIn};
 use world::Key;
 
@@ -62,7 +62,7 @@
     assert!(matches!(lost, Err(Error::Unknown { .. })), "{lost:?}");
     assert!(dynamo.read(&Key::new("part", "a")).await.unwrap().is_some());
     let fake = Fake::open();
-    fake.set_faults(platform::Faults { lost: 1, ..platform::Faults::default() });
+    fake.set_faults(table::Faults { lost: 1, ..table::Faults::default() });
     let lost = fake.write(vec![write("a", 1, Condition::Absent)]).await;
     assert!(matches!(lost, Err(Error::Unknown { .. })));
     assert!(fake.read(&Key::new("part", "a")).await.unwrap().is_some());
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,7 +6,11 @@
 //! that is reset before its end was cut.
 
 mod codec;
+mod fields;
+pub mod link;
 mod message;
+pub mod tls;
 
 pub use codec::{Error, FRAME_LIMIT, VERSION, decode, encode, read, write};
+pub use fields::{add_fields, end_to_end};
 pub use message::{Call, Field, Open, Reply, Suspect, Verdict};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -5,7 +5,7 @@
 use world::{Class, Code, Config, Name};
 
 /// A header's name and value.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Field {
     /// In lower case.
     pub name: String,
--- a/crates/bamboowheel/src/tls.rs
+++ b/crates/wire/src/tls.rs
@@ -1,6 +1,6 @@
 //! Certificates of the links between nodes, authenticated both ways.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,16 +13,10 @@
 use rustls::server::WebPkiClientVerifier;
 use snafu::{ResultExt, Snafu};
 
-use crate::settings::Trust;
-
 /// The name in every node's certificate.
 pub const SERVER_NAME: &str = "bamboowheel";
 /// What links speak; another program's handshake is refused.
 const PROTOCOL: &[u8] = b"bamboowheel/1";
-/// A link without any packet for this long is closed.
-const IDLE: Duration = Duration::from_secs(60);
-/// Time between packets that keep a link open.
-const KEEP_ALIVE: Duration = Duration::from_secs(20);
 /// Streams that a peer may have open at once.
 const STREAMS: u32 = 1_024;
 /// Bytes of one stream that a peer may send ahead.
@@ -30,6 +24,31 @@
 /// Bytes of one link that a peer may send ahead.
 const LINK_WINDOW: u32 = 8 * 1024 * 1024;
 
+/// Where a node's certificate comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Trust {
+    /// Made at start, under an authority whose key is public.
+    Development,
+    /// Read from files.
+    Files {
+        /// The authority that signed every node's certificate.
+        ca: PathBuf,
+        /// This node's certificate.
+        cert: PathBuf,
+        /// Its key.
+        key: PathBuf,
+    },
+}
+
+/// How a link is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// A link without any packet for this long is closed.
+    pub idle: Duration,
+    /// Time between packets that keep a link open.
+    pub keep_alive: Duration,
+}
+
 /// Why the links' certificates cannot be used.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -65,12 +84,12 @@
 }
 
 /// Loads or makes the certificates of the links.
-pub fn open(trust: &Trust) -> Result<Identity, Error> {
+pub fn open(trust: &Trust, timing: Timing) -> Result<Identity, Error> {
     let chain = match trust {
         Trust::Development => development().map_err(unfit)?,
         Trust::Files { ca, cert, key } => files(ca, cert, key)?,
     };
-    let transport = Arc::new(transport());
+    let transport = Arc::new(transport(timing)?);
     let mut server = ServerConfig::with_crypto(Arc::new(server(&chain)?));
     server.transport_config(transport.clone());
     let mut client = ClientConfig::new(Arc::new(client(chain)?));
@@ -139,17 +158,17 @@
     QuicClientConfig::try_from(config).map_err(unfit)
 }
 
-fn transport() -> TransportConfig {
+fn transport(timing: Timing) -> Result<TransportConfig, Error> {
     let mut transport = TransportConfig::default();
-    let idle = IdleTimeout::try_from(IDLE).unwrap_or(IdleTimeout::from(VarInt::from_u32(60_000)));
+    let idle = IdleTimeout::try_from(timing.idle).map_err(unfit)?;
     transport.max_idle_timeout(Some(idle));
-    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    transport.keep_alive_interval(Some(timing.keep_alive));
     transport.max_concurrent_bidi_streams(VarInt::from_u32(STREAMS));
     transport.max_concurrent_uni_streams(VarInt::from_u32(0));
     transport.stream_receive_window(VarInt::from_u32(STREAM_WINDOW));
     transport.receive_window(VarInt::from_u32(LINK_WINDOW));
     transport.send_window(u64::from(LINK_WINDOW));
-    transport
+    Ok(transport)
 }
 
 fn unfit(error: impl ToString) -> Error {
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -6,6 +6,7 @@
 mod inventory;
 mod key;
 mod parse;
+mod routing;
 mod target;
 
 pub use code::Code;
@@ -13,6 +14,7 @@
 pub use inventory::{Class, Contract, DataCentre, Inventory, Link, Rule, Service, Vm};
 pub use key::Key;
 pub use parse::{Fault, parse};
+pub use routing::{CallerLimits, Part, Repeat, RouteRule, Routing, Ruleset, ServiceRule, set_out};
 pub use target::{Announcement, TargetState};
 
 /// A shared immutable string that names one thing of the world.
