--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{self, HeaderValue};
+use http::header::HeaderValue;
 use http::request::Parts;
 use http::StatusCode;
 use platform::headers;
@@ -15,7 +15,7 @@
 use world::{Code, Name, Repeat, RouteRule};
 
 use crate::entry::answers::{Reply, pass, refuse};
-use crate::entry::callers::deadline;
+use crate::entry::callers::{deadline, host};
 use crate::entry::state::Entry;
 use crate::guard::{Answer, Outcome};
 use crate::peers::Peer;
@@ -89,9 +89,8 @@
         let Some(rules) = self.rules.current() else {
             return self.unroutable(Code::StoreDown, StatusCode::SERVICE_UNAVAILABLE, head);
         };
-        let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-        let host = host.or(head.uri.authority().map(|authority| authority.as_str()));
-        let Some(route) = rules.routing.route(host.unwrap_or_default(), head.uri.path()) else {
+        let found = host(head).and_then(|host| rules.routing.route(host, head.uri.path()));
+        let Some(route) = found else {
             // A newer ruleset that is not known here may have the route.
             let status = match self.rules.is_followed() {
                 true => StatusCode::NOT_FOUND,
--- a/crates/sidecar/src/entry/callers.rs
+++ b/crates/sidecar/src/entry/callers.rs
@@ -1,11 +1,14 @@
 //! Serves callers' connections.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::header::{self, HeaderValue};
+use http::request::Parts;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -17,8 +20,9 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use world::Code;
+use world::{Code, Repeat};
 
+use crate::entry::ahead::Ahead;
 use crate::entry::answers::{Reply, refuse};
 use crate::entry::socket::Socket;
 use crate::entry::state::Entry;
@@ -95,19 +99,32 @@
         tracing::debug!(%error, "callers: a connection ended at once");
         return;
     }
-    let socket = Socket::new(stream);
+    let ahead = Rc::new(RefCell::new(Ahead::default()));
+    let socket = {
+        let (entry, ahead) = (entry.clone(), ahead.clone());
+        let start = move |head: Parts| start_ahead(&entry, head);
+        Socket::new(stream, move |bytes| ahead.borrow_mut().scan(bytes, &start))
+    };
     let limits = entry.rules.current().map(|rules| rules.routing.limits);
     let head_bytes = limits.map_or(HEAD_BYTES, |limits| limits.head_bytes as usize);
     let idle = limits.map_or(IDLE, |limits| Duration::from_micros(limits.idle_us));
-    let watched = socket.clone();
-    let service = service_fn(move |request| {
-        let (entry, watched) = (entry.clone(), watched.clone());
+    let service = service_fn(|request| {
+        let (entry, ahead) = (entry.clone(), ahead.clone());
         async move {
-            let answer = answer(&entry, request);
-            tokio::select! {
-                reply = answer => Ok::<_, Infallible>(close_if_draining(&entry, reply)),
-                () = watched.closed() => std::future::pending().await,
-            }
+            let started = ahead.borrow_mut().begin();
+            let early = match started {
+                Some(started) => started.answer().await,
+                None => None,
+            };
+            let reply = match early {
+                Some(reply) => reply,
+                None => answer(&entry, request).await,
+            };
+            let mut ahead = ahead.borrow_mut();
+            ahead.answered();
+            // What was started ahead is under way and must be answered on this connection.
+            let closes = entry.is_draining() && !ahead.is_waiting();
+            Ok::<_, Infallible>(if closes { closing_reply(reply) } else { reply })
         }
     });
     let connection = Builder::new()
@@ -115,10 +132,12 @@
         .header_read_timeout(idle + IDLE_SLACK)
         .max_buf_size(head_bytes.max(LEAST_BUFFER))
         .pipeline_flush(true)
-        .serve_connection(TokioIo::new(socket), service);
+        .serve_connection(TokioIo::new(socket.clone()), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        // Dropping the connection gives up what its caller no longer waits for.
+        () = socket.closed() => return,
         // An error means that the node ends.
         _ = closing.wait_for(|closing| *closing) => {
             connection.as_mut().graceful_shutdown();
@@ -130,10 +149,29 @@
     }
 }
 
-fn close_if_draining(entry: &Entry, mut reply: Reply) -> Reply {
-    if entry.is_draining() {
-        reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
+/// Starts a request that was sent ahead, where it may run twice: the caller sends it again if an
+/// earlier answer closes the connection.
+fn start_ahead(entry: &Rc<Entry>, head: Parts) -> Option<JoinHandle<Reply>> {
+    let rules = entry.rules.current()?;
+    let route = rules.routing.route(host(&head)?, head.uri.path())?;
+    (route.repeat == Repeat::Safe).then(|| {
+        let entry = entry.clone();
+        tokio::task::spawn_local(async move {
+            let _busy = entry.busy();
+            let arrived = entry.clock.now();
+            entry.serve(&head, Bytes::new(), arrived).await
+        })
+    })
+}
+
+/// Returns the host that a request is for.
+pub fn host(head: &Parts) -> Option<&str> {
+    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    host.or(head.uri.authority().map(|authority| authority.as_str()))
+}
+
+fn closing_reply(mut reply: Reply) -> Reply {
+    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     reply
 }
 
--- a/crates/sidecar/src/entry/mod.rs
+++ b/crates/sidecar/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry: takes the requests that begin on this VM and has each run by one target.
 
+mod ahead;
 mod answers;
 mod call;
 mod callers;
--- a/crates/sidecar/src/entry/socket.rs
+++ b/crates/sidecar/src/entry/socket.rs
@@ -1,37 +1,68 @@
-//! A caller's connection whose end is noticed while its request is served.
+//! A caller's connection that is read ahead of the HTTP server: so its end is noticed while a
+//! request is served, and requests that were sent ahead are seen.
 
+use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
+use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
-/// The pause between two looks at a connection on which the caller's next requests wait unread.
-const LOOK: Duration = Duration::from_millis(100);
+/// Bytes that are read ahead, at most.
+const AHEAD_BYTES: usize = 64 * 1024;
+/// Bytes read at once.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Looks at the bytes of a connection as they come in.
+type Look = dyn Fn(&[u8]);
+
+struct Shared {
+    stream: TcpStream,
+    /// Read and not yet taken by the server.
+    ahead: RefCell<BytesMut>,
+    /// Told when the server has taken what was read ahead.
+    taken: Notify,
+    look: Box<Look>,
+}
 
 /// A connection that can be watched beside being read and written.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Socket {
-    stream: Rc<TcpStream>,
+    shared: Rc<Shared>,
 }
 
 impl Socket {
-    /// Wraps a connection.
-    pub fn new(stream: TcpStream) -> Socket {
-        Socket { stream: Rc::new(stream) }
+    /// Wraps a connection. `look` sees its bytes once, in order.
+    pub fn new(stream: TcpStream, look: impl Fn(&[u8]) + 'static) -> Socket {
+        let ahead = RefCell::default();
+        let shared = Shared { stream, ahead, taken: Notify::new(), look: Box::new(look) };
+        Socket { shared: Rc::new(shared) }
     }
 
-    /// Waits until the caller has closed the connection. The server reads nothing while requests
-    /// that were sent ahead fill its buffer, so it does not notice that itself.
+    /// Reads ahead until the caller closes the connection.
     pub async fn closed(&self) {
-        let mut byte = [0];
+        let Shared { stream, ahead, taken, look } = &*self.shared;
         loop {
-            match self.stream.peek(&mut byte).await {
-                Ok(0) | Err(_) => return,
-                Ok(_) => tokio::time::sleep(LOOK).await,
+            if ahead.borrow().len() >= AHEAD_BYTES {
+                taken.notified().await;
+                continue;
+            }
+            if stream.readable().await.is_err() {
+                return;
+            }
+            let mut bytes = [0; READ_BYTES];
+            match stream.try_read(&mut bytes) {
+                Ok(0) => return,
+                Ok(count) => {
+                    ahead.borrow_mut().extend_from_slice(&bytes[..count]);
+                    look(&bytes[..count]);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
             }
         }
     }
@@ -43,11 +74,22 @@
         context: &mut Context<'_>,
         out: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let Shared { stream, ahead, taken, look } = &*self.shared;
+        let mut ahead = ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let count = ahead.len().min(out.remaining());
+            out.put_slice(&ahead[..count]);
+            ahead.advance(count);
+            taken.notify_one();
+            return Poll::Ready(Ok(()));
+        }
+        drop(ahead);
         loop {
-            ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read(out.initialize_unfilled()) {
+            ready!(stream.poll_read_ready(context))?;
+            match stream.try_read(out.initialize_unfilled()) {
                 Ok(count) => {
                     out.advance(count);
+                    look(&out.filled()[out.filled().len() - count..]);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -63,13 +105,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match self.stream.try_write(bytes) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        self.poll_write_vectored(context, &[io::IoSlice::new(bytes)])
     }
 
     fn poll_write_vectored(
@@ -77,9 +113,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        let stream = &self.shared.stream;
         loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match self.stream.try_write_vectored(slices) {
+            ready!(stream.poll_write_ready(context))?;
+            match stream.try_write_vectored(slices) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -95,7 +132,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let shutdown = socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write);
-        Poll::Ready(shutdown)
+        let socket = socket2::SockRef::from(&self.shared.stream);
+        Poll::Ready(socket.shutdown(std::net::Shutdown::Write))
     }
 }
