Both ends of a pair of nodes keep the same link

Change: of two links, both ends use that of the end whose name comes first; a new life replaces all.

--- a/crates/sidecar/src/peers/directory.rs
+++ b/crates/sidecar/src/peers/directory.rs
@@ -9,13 +9,21 @@
 use wire::link::{Hello, Life, Node, Status};
 use world::Name;
 
+/// A link, and whether the end whose name comes first opened it.
+#[derive(Clone, Debug)]
+pub(super) struct Link {
+    pub(super) connection: Connection,
+    pub(super) by_first: bool,
+}
+
 /// Another node.
 #[derive(Debug)]
 pub struct Peer {
     /// What it is.
     node: RefCell<Node>,
-    /// The newest link that is not known to be closed.
-    link: RefCell<Option<Connection>>,
+    /// The link that both ends use. Where both opened one at the same time, it is that of the end
+    /// whose name comes first.
+    link: RefCell<Option<Link>>,
     /// The service of its target, while one is known.
     service: RefCell<Option<Name>>,
     /// What is known of its target.
@@ -57,7 +65,8 @@
     /// Returns the link to it, where one is open.
     pub fn link(&self) -> Option<Connection> {
         let link = self.link.borrow();
-        link.as_ref().filter(|link| link.close_reason().is_none()).cloned()
+        let open = link.as_ref().filter(|link| link.connection.close_reason().is_none());
+        open.map(|link| link.connection.clone())
     }
 
     /// Returns whether its target is one of a service and takes requests.
@@ -91,18 +100,31 @@
         self.revision.get()
     }
 
-    /// Takes over what a node said of itself, and its link. Returns the link that this replaces.
-    pub(super) fn greeted(&self, now: Time, hello: &Hello, link: Connection) -> Option<Connection> {
+    /// Takes over what a node said of itself, and its link. Returns the link that is not to be used
+    /// from now on, where there are two.
+    pub(super) fn greeted(&self, now: Time, hello: &Hello, link: Link) -> Option<Connection> {
         let restarted = hello.node.started > self.node.borrow().started;
         *self.node.borrow_mut() = hello.node.clone();
         self.say(now, &hello.status);
-        let old = self.link.borrow_mut().replace(link);
+        let mut known = self.link.borrow_mut();
+        let old = known.take().filter(|old| old.connection.close_reason().is_none());
+        let kept = match &old {
+            // The process at the other end of the old link is gone.
+            Some(old) if restarted => {
+                old.connection.close(0u32.into(), b"restarted");
+                None
+            }
+            // Both ends keep the same one of two links, whatever order they learn of them in.
+            Some(old) => (old.by_first && !link.by_first).then(|| old.clone()),
+            None => None,
+        };
+        let unused = match &kept {
+            Some(_) => Some(link.connection.clone()),
+            None => old.filter(|_| !restarted).map(|old| old.connection),
+        };
+        *known = Some(kept.unwrap_or(link));
         self.changed.notify_waiters();
-        // The process at the other end of the old link is gone.
-        if restarted && let Some(old) = &old {
-            old.close(0u32.into(), b"restarted");
-        }
-        old.filter(|old| old.close_reason().is_none())
+        unused
     }
 
     /// Takes in what it said of itself.
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use policy::{Time, View};
-use quinn::{ClientConfig, Connection, Endpoint, EndpointConfig, TokioRuntime};
+use quinn::{ClientConfig, Endpoint, EndpointConfig, TokioRuntime};
 use rand::Rng;
 use runtime::Clock;
 use wire::link::{Datagram, Frame, Hello, Node, Reply};
@@ -15,7 +15,7 @@
 
 use crate::configuration::Rules;
 use crate::guard::Guard;
-use crate::peers::directory::{Directory, Peer};
+use crate::peers::directory::{Directory, Link, Peer};
 use crate::peers::serve;
 
 /// A link on which nothing came for 2 s is closed: half of `contactS`, so that a peer that was cut
@@ -30,7 +30,7 @@
 const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
 /// A node without a link for this long is forgotten, in microseconds.
 const FORGET_US: u64 = 60_000_000;
-/// A replaced link is closed after the longest calls on it have ended.
+/// A link that is not used is closed after the longest calls on it have ended.
 const LINGER: Duration = Duration::from_secs(10);
 /// Time between two reports to every peer: answers carry reports too, and these are for peers to
 /// which none go.
@@ -171,7 +171,8 @@
         wire::write(&mut send, &hello).await.map_err(|error| error.to_string())?;
         let _ = send.finish();
         let hello: Hello = wire::read(&mut receive).await.map_err(|error| error.to_string())?;
-        self.greeted(&hello, link.clone());
+        let by_first = self.me.name < hello.node.name;
+        self.greeted(&hello, Link { connection: link.clone(), by_first });
         serve::spawn(self, peer.clone(), link);
         Ok(())
     }
@@ -188,14 +189,14 @@
     }
 
     /// Takes in a peer's hello on a link.
-    pub(super) fn greeted(self: &Rc<Peers>, hello: &Hello, link: Connection) -> Rc<Peer> {
+    pub(super) fn greeted(self: &Rc<Peers>, hello: &Hello, link: Link) -> Rc<Peer> {
         self.learn(&hello.node);
         let (peer, _) = self.directory.find_or_add(&hello.node);
         let now = self.clock.now();
-        if let Some(old) = peer.greeted(now, hello, link) {
+        if let Some(unused) = peer.greeted(now, hello, link) {
             tokio::task::spawn_local(async move {
                 tokio::time::sleep(LINGER).await;
-                old.close(0u32.into(), b"replaced");
+                unused.close(0u32.into(), b"unused");
             });
         }
         if let Some(life) = &hello.leaving {
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -7,7 +7,7 @@
 use wire::link::{Attempt, Datagram, Frame, Reply};
 
 use crate::guard::Outcome;
-use crate::peers::directory::Peer;
+use crate::peers::directory::{Link, Peer};
 use crate::peers::exchange::GIVEN_UP;
 use crate::peers::links::Peers;
 
@@ -40,7 +40,8 @@
     let (mut send, mut receive) = link.accept_bi().await.map_err(|error| error.to_string())?;
     let frame: Frame = wire::read(&mut receive).await.map_err(|error| error.to_string())?;
     let Frame::Hello(hello) = frame else { return Err("no hello".to_owned()) };
-    let peer = peers.greeted(&hello, link.clone());
+    let by_first = hello.node.name < peers.me().name;
+    let peer = peers.greeted(&hello, Link { connection: link.clone(), by_first });
     let answer = peers.hello(Some(&peer));
     wire::write(&mut send, &answer).await.map_err(|error| error.to_string())?;
     let _ = send.finish();
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -28,7 +28,7 @@
 /// The platform sends callers here until it has missed the readiness check twice, a second apart.
 const LAST_CALLERS: Duration = Duration::from_millis(2_500);
 /// What is left of the time to stop when the last connections are closed.
-const LAST_CLOSE: Duration = Duration::from_millis(400);
+const LAST_CLOSE: Duration = Duration::from_millis(800);
 /// Time between two looks at the settings file, which may change without a signal.
 const LOOK: Duration = Duration::from_secs(1);
 
