Send a safe request a second time when its first target takes long

Change: as late as a second attempt can still meet the objective, within the budget of repeats, to a guard that runs it at once or not at all; the first good answer counts. Estimates are kept by route.

--- /dev/null
+++ b/crates/sidecar/src/entry/attempt.rs
@@ -0,0 +1,104 @@
+//! One attempt of a request, here or at another node.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use policy::{Refusal, Time};
+use wire::link::Attempt;
+use world::Name;
+
+use crate::entry::state::Entry;
+use crate::guard::Outcome;
+use crate::peers::Peer;
+
+/// A guard that was not heard of for this long after an attempt was sent is doubted. It says after
+/// 40 ms that it holds an attempt.
+const SILENCE: Duration = Duration::from_millis(120);
+
+/// Where an attempt goes.
+#[derive(Clone, Debug)]
+pub enum Place {
+    /// To the target on this VM.
+    Here,
+    /// To that of another node.
+    There(Rc<Peer>),
+}
+
+impl Place {
+    /// Returns the node's name.
+    pub fn name(&self, entry: &Entry) -> Name {
+        match self {
+            Place::Here => entry.peers.me().name.clone(),
+            Place::There(peer) => peer.node().name,
+        }
+    }
+
+    /// Notes how an attempt there ended.
+    pub fn ended(&self, entry: &Entry, success: bool) {
+        let now = entry.clock.now();
+        match self {
+            Place::Here => entry.peers.own.borrow_mut().ended(now, success),
+            Place::There(peer) => peer.view.borrow_mut().ended(now, success),
+        }
+    }
+}
+
+/// Runs an attempt to its end, at the deadline at the latest. Dropping the future gives it up.
+pub async fn execute(
+    entry: Rc<Entry>,
+    place: Place,
+    attempt: Attempt,
+    body: Bytes,
+    deadline: Time,
+    safe: bool,
+) -> Outcome {
+    let until = entry.clock.instant(deadline);
+    let outcome = match &place {
+        Place::Here => {
+            let own = &entry.peers.own;
+            own.borrow_mut().sent();
+            let outcome = tokio::time::timeout_at(until, entry.guard.run(&attempt, body)).await;
+            own.borrow_mut().reported(entry.clock.now(), entry.guard.report());
+            outcome
+        }
+        Place::There(peer) => {
+            peer.view.borrow_mut().sent();
+            tokio::time::timeout_at(until, send(&entry, peer, attempt, body, safe)).await
+        }
+    };
+    outcome.unwrap_or_else(|_| Outcome::Lost { detail: "no answer in time".to_owned() })
+}
+
+/// Has a peer run the attempt. A safe one is given up where nothing is heard of the peer.
+async fn send(
+    entry: &Rc<Entry>,
+    peer: &Rc<Peer>,
+    attempt: Attempt,
+    body: Bytes,
+    safe: bool,
+) -> Outcome {
+    let begun = entry.clock.now();
+    let id = attempt.id.clone();
+    let mut sent = match entry.peers.send(peer, attempt, body).await {
+        Ok(sent) => sent,
+        Err(error) => {
+            tracing::debug!(request = id, %error, "entry: nothing was sent");
+            return Outcome::NotRun { refusal: Refusal::NoTarget, reached: false };
+        }
+    };
+    let silence = async {
+        tokio::time::sleep(SILENCE).await;
+        if peer.heard() > begun {
+            std::future::pending::<()>().await;
+        }
+        peer.view.borrow_mut().doubt(entry.clock.now());
+        if !safe {
+            std::future::pending::<()>().await;
+        }
+    };
+    tokio::select! {
+        outcome = sent.outcome() => outcome,
+        () = silence => Outcome::Lost { detail: "the guard is silent".to_owned() },
+    }
+}
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -1,20 +1,21 @@
 //! One request: its route, its attempts, its answer.
 
+use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
+use http::StatusCode;
 use http::header::HeaderValue;
 use http::request::Parts;
-use http::StatusCode;
 use platform::headers;
 use policy::{Candidate, Refusal, Time, choose};
 use rand::Rng;
-use wire::link::Attempt;
 use wire::Field;
+use wire::link::Attempt;
 use world::{Code, Name, Repeat, RouteRule};
 
 use crate::entry::answers::{Reply, pass, refuse};
+use crate::entry::attempt::{Place, execute};
 use crate::entry::callers::{deadline, host};
 use crate::entry::state::Entry;
 use crate::guard::{Answer, Outcome};
@@ -28,18 +29,14 @@
 /// The time that an answer needs from the guard to the caller, in microseconds: the guard gives an
 /// attempt up that much earlier, so that its word comes in time.
 const RETURN_US: u64 = 6_000;
-/// A guard that was not heard of for this long after an attempt was sent is doubted. It says after
-/// 40 ms that it holds an attempt.
-const SILENCE: Duration = Duration::from_millis(120);
+/// A request that may run twice is sent a second time when this many times the expected work has
+/// passed without an answer, at the earliest.
+const HEDGE_WORK: f64 = 1.3;
+/// The second attempt is expected to need this many times the expected work.
+const SECOND_WORK: f64 = 1.1;
 
-/// Where an attempt goes.
-#[derive(Clone, Debug)]
-enum Place {
-    /// To the target on this VM.
-    Here,
-    /// To that of another node.
-    There(Rc<Peer>),
-}
+/// An attempt under way.
+type Running = Pin<Box<dyn Future<Output = Outcome>>>;
 
 /// A request on its way.
 struct Call<'a> {
@@ -53,18 +50,22 @@
     body: Bytes,
     arrived: Time,
     deadline: Time,
-    /// Nodes whose guards refused or failed it, by name.
+    /// Nodes whose guards were asked, by name.
     tried: Vec<Name>,
     /// Attempts that reached a target, or may have.
     reached: u32,
     /// Attempts, refused ones among them.
     attempts: usize,
+    /// Whether a second attempt was sent beside the first.
+    hedged: bool,
     /// Whether a target may have run it without an answer.
     lost: bool,
     /// A target's failure, to be passed on where nothing better comes.
     failure: Option<Answer>,
     /// The last refusal.
     refusal: Refusal,
+    /// What was seen of the last attempt without an answer.
+    detail: String,
 }
 
 /// What follows an attempt.
@@ -115,11 +116,13 @@
             tried: Vec::new(),
             reached: 0,
             attempts: 0,
+            hedged: false,
             lost: false,
             failure: None,
             refusal: Refusal::NoTarget,
+            detail: String::new(),
         };
-        self.services.borrow_mut().of(&call.service).budget.request(arrived, &self.bound.get());
+        self.budgets.borrow_mut().of(&call.service).request(arrived, &self.bound.get());
         let answer = call.run().await;
         call.finish(answer, id)
     }
@@ -155,15 +158,13 @@
                 None => return None,
             };
             let is_last = !eager || self.places().len() < 2;
-            if is_last {
-                patient += 1;
-            }
+            patient += usize::from(is_last);
             if patient > PATIENT || !self.may_reach() {
                 return None;
             }
-            match self.attempt(&place, !is_last).await {
+            match self.attempt(place, !is_last).await {
                 Next::Done(answer) => return Some(answer),
-                Next::Again => self.tried.push(self.name(&place)),
+                Next::Again => {}
                 Next::Over => return None,
             }
         }
@@ -177,16 +178,17 @@
 
     /// Takes one repeat from the budget where the request may have reached a target before.
     fn may_reach(&self) -> bool {
-        if self.reached == 0 {
-            return true;
-        }
-        if self.reached >= self.route.attempts {
+        self.reached == 0 || self.may_repeat(self.reached)
+    }
+
+    /// Takes one repeat from the budget for a request that may have reached `reached` targets.
+    fn may_repeat(&self, reached: u32) -> bool {
+        if reached >= self.route.attempts {
             return false;
         }
         let (now, bound) = (self.entry.clock.now(), self.entry.bound.get());
-        let mut services = self.entry.services.borrow_mut();
-        let taken =
-            services.of(&self.service).budget.take(now, &bound, self.entry.peers.most());
+        let mut budgets = self.entry.budgets.borrow_mut();
+        let taken = budgets.of(&self.service).take(now, &bound, self.entry.peers.most());
         if taken {
             self.entry.metrics.repeats.inc();
         }
@@ -197,14 +199,17 @@
     fn choose(&self) -> Option<Place> {
         let entry = self.entry;
         let now = entry.clock.now();
-        let weight = entry.services.borrow_mut().of(&self.service).weight(self.body.len());
+        let weight = entry.routes.borrow_mut().of(&self.route.name).weight(self.body.len());
         let mut places = self.places();
         let own = entry.peers.own.borrow();
         let views: Vec<_> = places
             .iter()
             .map(|place| match place {
                 Place::Here => None,
-                Place::There(peer) => Some((peer.view.borrow(), entry.peers.is_near(&peer.data_centre()))),
+                Place::There(peer) => {
+                    let near = entry.peers.is_near(&peer.data_centre());
+                    Some((peer.view.borrow(), near))
+                }
             })
             .collect();
         let candidates = views.iter().map(|view| match view {
@@ -225,9 +230,8 @@
             places.push(Place::Here);
         }
         let rules = entry.rules.current();
-        let is_out = |peer: &Peer| {
-            rules.as_ref().is_some_and(|rules| rules.is_out(&peer.data_centre()))
-        };
+        let is_out =
+            |peer: &Peer| rules.as_ref().is_some_and(|rules| rules.is_out(&peer.data_centre()));
         entry.peers.each(|peer| {
             let is_tried = || self.tried.iter().any(|name| peer.is(name));
             if peer.serves(&self.service) && !is_tried() && !is_out(peer) {
@@ -237,17 +241,14 @@
         places
     }
 
-    fn name(&self, place: &Place) -> Name {
-        match place {
-            Place::Here => self.entry.peers.me().name.clone(),
-            Place::There(peer) => peer.node().name,
-        }
-    }
-
-    async fn attempt(&mut self, place: &Place, elsewhere: bool) -> Next {
+    /// Sends the request to a place.
+    fn begin(&mut self, place: &Place, elsewhere: bool) -> Running {
         self.attempts += 1;
+        self.tried.push(place.name(self.entry));
         let entry = self.entry;
         let begun = entry.clock.now();
+        let weight = entry.routes.borrow_mut().of(&self.route.name).weight(self.body.len());
+        let aim = self.arrived.after(self.route.aim_us);
         let attempt = Attempt {
             id: self.id.clone(),
             service: self.service.clone(),
@@ -257,75 +258,90 @@
             fields: self.fields.clone(),
             length: self.body.len() as u64,
             left_us: self.deadline.since(begun).saturating_sub(RETURN_US),
+            aim_us: aim.since(begun).saturating_sub(RETURN_US),
+            work_us: weight.work_us as u64,
             priority: self.route.priority,
             elsewhere,
         };
-        let until = entry.clock.instant(self.deadline);
-        let outcome = match place {
-            Place::Here => {
-                entry.peers.own.borrow_mut().sent();
-                let run = entry.guard.run(&attempt, self.body.clone());
-                let outcome = tokio::time::timeout_at(until, run).await;
-                entry.peers.own.borrow_mut().reported(entry.clock.now(), entry.guard.report());
-                outcome
-            }
-            Place::There(peer) => {
-                peer.view.borrow_mut().sent();
-                let run = self.send(peer, attempt);
-                tokio::time::timeout_at(until, run).await
-            }
+        let safe = self.route.repeat == Repeat::Safe;
+        let deadline = self.deadline;
+        let (entry, place, body) = (entry.clone(), place.clone(), self.body.clone());
+        Box::pin(execute(entry, place, attempt, body, deadline, safe))
+    }
+
+    /// Runs one attempt, and a second one beside it where the first takes long and the request may
+    /// run twice. The first good answer counts; what is left over is given up.
+    async fn attempt(&mut self, place: Place, elsewhere: bool) -> Next {
+        let mut first = self.begin(&place, elsewhere);
+        let hedge = self.hedge_at().map(|at| tokio::time::sleep_until(self.entry.clock.instant(at)));
+        let outcome = match hedge {
+            None => first.await,
+            Some(hedge) => tokio::select! {
+                biased;
+                outcome = &mut first => outcome,
+                () = hedge => match self.second() {
+                    Some((other, second)) => return self.race((place, first), (other, second)).await,
+                    None => first.await,
+                },
+            },
         };
-        let outcome = outcome.unwrap_or_else(|_| Outcome::Lost { detail: "late".to_owned() });
-        self.judge(place, outcome)
+        self.judge(&place, outcome)
     }
 
-    /// Has a peer run the attempt. A safe one is given up where nothing is heard of the peer.
-    async fn send(&self, peer: &Rc<Peer>, attempt: Attempt) -> Outcome {
-        let entry = self.entry;
-        let begun = entry.clock.now();
-        let mut sent = match entry.peers.send(peer, attempt, self.body.clone()).await {
-            Ok(sent) => sent,
-            Err(error) => {
-                tracing::debug!(request = self.id, %error, "entry: nothing was sent");
-                return Outcome::NotRun { refusal: Refusal::NoTarget, reached: false };
-            }
+    /// Returns when a second attempt is worth while: as late as it can still meet the aim.
+    fn hedge_at(&self) -> Option<Time> {
+        if self.route.repeat != Repeat::Safe || self.hedged || self.reached > 0 {
+            return None;
+        }
+        let now = self.entry.clock.now();
+        let work_us = self.entry.routes.borrow_mut().of(&self.route.name).weight(0).work_us;
+        let aim = self.arrived.after(self.route.aim_us.saturating_sub(RETURN_US));
+        let latest_us = aim.since(now) as f64 - work_us * SECOND_WORK;
+        Some(now.after(latest_us.max(work_us * HEDGE_WORK) as u64))
+    }
+
+    /// Begins a second attempt, to run at once or not at all.
+    fn second(&mut self) -> Option<(Place, Running)> {
+        self.hedged = true;
+        let place = self.choose()?;
+        if !self.may_repeat(self.reached + 1) {
+            return None;
+        }
+        let running = self.begin(&place, true);
+        Some((place, running))
+    }
+
+    /// Waits for the first good answer of two attempts.
+    async fn race(&mut self, one: (Place, Running), two: (Place, Running)) -> Next {
+        let (mut one, mut two) = (one, two);
+        let (place, outcome, rest) = tokio::select! {
+            outcome = &mut one.1 => (&one.0, outcome, &mut two),
+            outcome = &mut two.1 => (&two.0, outcome, &mut one),
         };
-        let silence = async {
-            tokio::time::sleep(SILENCE).await;
-            if peer.heard() > begun {
-                std::future::pending::<()>().await;
+        match self.judge(place, outcome) {
+            Next::Done(answer) => Next::Done(answer),
+            Next::Again | Next::Over => {
+                let outcome = (&mut rest.1).await;
+                self.judge(&rest.0, outcome)
             }
-            peer.view.borrow_mut().doubt(entry.clock.now());
-            if self.route.repeat == Repeat::Never {
-                std::future::pending::<()>().await;
-            }
-        };
-        tokio::select! {
-            outcome = sent.outcome() => outcome,
-            () = silence => Outcome::Lost { detail: "the guard is silent".to_owned() },
         }
     }
 
     /// Decides what follows an outcome.
     fn judge(&mut self, place: &Place, outcome: Outcome) -> Next {
-        let now = self.entry.clock.now();
         let success = match &outcome {
             Outcome::Answer(answer) => Some(!answer.status.is_server_error()),
-            Outcome::Lost { .. } => Some(false),
-            Outcome::NotRun { reached: true, .. } => Some(false),
+            Outcome::Lost { .. } | Outcome::NotRun { reached: true, .. } => Some(false),
             Outcome::NotRun { .. } => None,
         };
         if let Some(success) = success {
-            match place {
-                Place::Here => self.entry.peers.own.borrow_mut().ended(now, success),
-                Place::There(peer) => peer.view.borrow_mut().ended(now, success),
-            }
+            place.ended(self.entry, success);
         }
         match outcome {
             Outcome::Answer(answer) => {
                 self.reached += 1;
-                let mut services = self.entry.services.borrow_mut();
-                services.of(&self.service).answered(answer.took_us, answer.body.len());
+                let mut routes = self.entry.routes.borrow_mut();
+                routes.of(&self.route.name).answered(answer.took_us, answer.body.len());
                 if !answer.status.is_server_error() || self.route.repeat == Repeat::Never {
                     return Next::Done(answer);
                 }
@@ -338,7 +354,7 @@
                 Next::Again
             }
             Outcome::Lost { detail } => {
-                tracing::debug!(request = self.id, detail, "entry: an attempt was lost");
+                self.detail = detail;
                 self.reached += 1;
                 self.lost = true;
                 match self.route.repeat {
@@ -397,7 +413,7 @@
             (false, _) => "lost",
         };
         entry.metrics.call(&self.service, outcome, took_us as f64 / 1e6);
-        let notable = outcome != "answered" || took_us > self.route.aim_us || self.attempts > 1;
+        let notable = outcome != "answered" || took_us > self.route.aim_us;
         let bucket = if notable { &entry.notable } else { &entry.ordinary };
         if !bucket.borrow_mut().take(now, 1.0) {
             entry.metrics.unlogged.inc();
@@ -411,8 +427,10 @@
             took_us,
             attempts = self.attempts,
             reached = self.reached,
+            hedged = self.hedged,
             tried = ?self.tried,
             refusal = %self.refusal,
+            detail = self.detail,
             revision = entry.rules.revision(),
             "entry: {outcome}"
         );
--- a/crates/sidecar/src/entry/mod.rs
+++ b/crates/sidecar/src/entry/mod.rs
@@ -2,9 +2,10 @@
 
 mod ahead;
 mod answers;
+mod attempt;
 mod call;
 mod callers;
-mod service;
+mod learned;
 mod socket;
 mod state;
 
--- a/crates/sidecar/src/entry/state.rs
+++ b/crates/sidecar/src/entry/state.rs
@@ -11,7 +11,7 @@
 use world::Name;
 
 use crate::configuration::Rules;
-use crate::entry::service::Services;
+use crate::entry::learned::{Budgets, Routes};
 use crate::guard::Guard;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -32,7 +32,8 @@
     /// The service of this VM, which its requests carry.
     pub(super) caller: Name,
     pub(super) rng: RefCell<SmallRng>,
-    pub(super) services: RefCell<Services>,
+    pub(super) routes: RefCell<Routes>,
+    pub(super) budgets: RefCell<Budgets>,
     pub(super) bound: Cell<RepeatBound>,
     pub(super) ordinary: RefCell<Bucket>,
     pub(super) notable: RefCell<Bucket>,
@@ -61,7 +62,8 @@
             metrics,
             caller,
             rng: RefCell::new(SmallRng::from_os_rng()),
-            services: RefCell::default(),
+            routes: RefCell::default(),
+            budgets: RefCell::default(),
             bound: Cell::new(bound),
             ordinary: RefCell::new(Bucket::new(ORDINARY_LINES, ORDINARY_LINES)),
             notable: RefCell::new(Bucket::new(NOTABLE_LINES, NOTABLE_LINES)),
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -79,6 +79,10 @@
     pub length: u64,
     /// Until its answer is worth nothing, in microseconds from the frame's arrival.
     pub left_us: u64,
+    /// Until its answer is worth less, in microseconds from the frame's arrival.
+    pub aim_us: u64,
+    /// How long the target is expected to work on it, in microseconds.
+    pub work_us: u64,
     /// 0 is served first.
     pub priority: u32,
     /// Whether its entry has other targets to try.
