A drain takes nothing late and cuts no answer

Change: connections are closed 2.5 s after the signal, each once nothing started ahead waits for it; nothing is started ahead in a drain; pipeline_flush is off.

--- a/crates/sidecar/src/entry/callers.rs
+++ b/crates/sidecar/src/entry/callers.rs
@@ -41,6 +41,10 @@
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 /// The longest body before any limit is known, in bytes.
 const BODY_BYTES: u64 = 64 * 1024 * 1024;
+/// The longest wait for the caller's end of a connection that was closed here.
+const LINGER: Duration = Duration::from_secs(1);
+/// The pause between two looks at a connection that is to be closed.
+const CLOSE_LOOK: Duration = Duration::from_millis(10);
 /// The longest wait for a body whose caller sets no time.
 const BODY_WAIT_US: u64 = 30_000_000;
 
@@ -131,27 +135,41 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle + IDLE_SLACK)
         .max_buf_size(head_bytes.max(LEAST_BUFFER))
-        .pipeline_flush(true)
         .serve_connection(TokioIo::new(socket.clone()), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         // Dropping the connection gives up what its caller no longer waits for.
         () = socket.closed() => return,
-        // An error means that the node ends.
-        _ = closing.wait_for(|closing| *closing) => {
+        () = closed(&mut closing, &ahead) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
     };
-    if let Err(error) = ended {
-        tracing::debug!(%error, "callers: a connection broke");
+    match ended {
+        // Closing while bytes of the caller are unread would reset the connection, and with it the
+        // last answer.
+        Ok(()) => drop(tokio::time::timeout(LINGER, socket.discard()).await),
+        Err(error) => tracing::debug!(%error, "callers: a connection broke"),
+    }
+}
+
+/// Waits until the connection is to be closed and nothing that was started ahead waits for it.
+async fn closed(closing: &mut watch::Receiver<bool>, ahead: &RefCell<Ahead>) {
+    // An error means that the node ends.
+    let _ = closing.wait_for(|closing| *closing).await;
+    while ahead.borrow().is_waiting() {
+        tokio::time::sleep(CLOSE_LOOK).await;
     }
 }
 
 /// Starts a request that was sent ahead, where it may run twice: the caller sends it again if an
 /// earlier answer closes the connection.
 fn start_ahead(entry: &Rc<Entry>, head: Parts) -> Option<JoinHandle<Reply>> {
+    if entry.is_draining() {
+        // The answer before it closes the connection, and the caller sends it again.
+        return None;
+    }
     let rules = entry.rules.current()?;
     let route = rules.routing.route(host(&head)?, head.uri.path())?;
     (route.repeat == Repeat::Safe).then(|| {
--- a/crates/sidecar/src/entry/socket.rs
+++ b/crates/sidecar/src/entry/socket.rs
@@ -66,6 +66,19 @@
             }
         }
     }
+
+    /// Reads and discards until the caller closes the connection.
+    pub async fn discard(&self) {
+        let mut bytes = [0; READ_BYTES];
+        while self.shared.stream.readable().await.is_ok() {
+            match self.shared.stream.try_read(&mut bytes) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
 }
 
 impl AsyncRead for Socket {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -27,7 +27,7 @@
 const NOTICE: Duration = Duration::from_millis(300);
 /// The platform sends callers here until it has missed the readiness check twice, a second apart.
 const LAST_CALLERS: Duration = Duration::from_millis(2_500);
-/// What is left of the time to stop when the last connections are closed.
+/// What is left of the time to stop when what still runs is cut.
 const LAST_CLOSE: Duration = Duration::from_millis(800);
 /// Time between two looks at the settings file, which may change without a signal.
 const LOOK: Duration = Duration::from_secs(1);
@@ -207,13 +207,14 @@
     guard.drain();
     tokio::time::sleep_until(begun + LAST_CALLERS).await;
     let last = begun + grace.saturating_sub(LAST_CLOSE);
+    // Where too few other nodes are ready, callers keep coming for as long as they are taken.
+    callers.close();
     let idle = async {
+        callers.ended().await;
         while entry.pending() > 0 || guard.pending() > 0 {
             let pause = Duration::from_millis(20);
             let _ = tokio::time::timeout(pause, entry.ended()).await;
         }
-        callers.close();
-        callers.ended().await;
     };
     let drained = tokio::time::timeout_at(last, idle).await.is_ok();
     tracing::info!(drained, entry = entry.pending(), guard = guard.pending(), "node: stopped");
