--- a/crates/bamboowheel/src/gossip.rs
+++ b/crates/bamboowheel/src/gossip.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use table::{Condition, Row, Table, Write};
 use policy::Member;
+use table::{Condition, Row, Table, Write};
 use wire::{Open, Reply};
 use world::Key;
 
-use runtime::wall_ms;
 use crate::node::{Node, lock};
 use crate::suspicion;
+use runtime::wall_ms;
 
 /// Time between two ticks of the membership.
 const TICK: Duration = Duration::from_millis(100);
--- a/crates/bamboowheel/src/node.rs
+++ b/crates/bamboowheel/src/node.rs
@@ -4,17 +4,16 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
-use table::Dynamo;
 use policy::{Entry, Health, Member, MemberAction, Members, Route, Suspects, Time, Versions};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use table::Dynamo;
 use tokio::runtime::Handle;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use world::{Code, Config, Inventory, Name};
 use xxhash_rust::xxh3::xxh3_64;
 
-use runtime::{Clock, wall_ms};
 use crate::events::Events;
 use crate::gate::Gate;
 use crate::ledger::Ledger;
@@ -22,6 +21,7 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::settings::Settings;
+use runtime::{Clock, wall_ms};
 
 /// The entry with the generator that its choices draw from.
 #[derive(Debug)]
--- a/crates/bamboowheel/src/once.rs
+++ b/crates/bamboowheel/src/once.rs
@@ -3,16 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use table::{Condition, Error, Row, Table, Write};
 use policy::{Once, OnceRecord, OnceState, OnceStep, Stored, TableReply, Time};
+use table::{Condition, Error, Row, Table, Write};
 use tokio::sync::mpsc;
 use wire::{Call, Field, Verdict};
 use world::{Code, Key};
 
 use crate::attempt::Event;
-use runtime::wall_ms;
 use crate::gate::refused;
 use crate::node::{Node, lock};
+use runtime::wall_ms;
 
 /// How long a record is kept, in seconds.
 const KEPT_S: u64 = 7 * 86_400;
--- a/crates/bamboowheel/src/run.rs
+++ b/crates/bamboowheel/src/run.rs
@@ -98,8 +98,8 @@
 impl Started {
     async fn start(settings: Settings) -> Result<Started, (Code, String)> {
         let cannot_bind = |error: std::io::Error| (Code::CannotBind, error.to_string());
-        let identity =
-            tls::open(&settings.trust, LINK_TIMING).map_err(|error| (Code::BadSetting, error.to_string()))?;
+        let identity = tls::open(&settings.trust, LINK_TIMING)
+            .map_err(|error| (Code::BadSetting, error.to_string()))?;
         if settings.trust == Trust::Development {
             tracing::warn!("links: development mode, any node may join");
         }
--- a/crates/bamboowheelctl/src/cmd/history.rs
+++ b/crates/bamboowheelctl/src/cmd/history.rs
@@ -1,8 +1,8 @@
 //! `history`: lists the accepted changes.
 
 use gumdrop::Options;
-use table::Table;
 use serde_json::json;
+use table::Table;
 use world::{Config, Key};
 
 use super::Context;
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -124,7 +124,8 @@
         let reported = 1.0 - f64::from(self.report.free) / slots;
         let used = reported * fresh + UNKNOWN_USE * (1.0 - fresh) + f64::from(self.since) / slots;
         let queued = (used + 1.0 / slots - 1.0).max(0.0);
-        let time_us = weight.work_us * slowness * (1.0 + queued + USE_WEIGHT * used.clamp(0.0, 1.0));
+        let time_us =
+            weight.work_us * slowness * (1.0 + queued + USE_WEIGHT * used.clamp(0.0, 1.0));
         let success = (1.0 - self.failing(now)).max(LEAST_SUCCESS);
         let far_us = match near {
             true => 0.0,
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -80,12 +80,7 @@
 
 impl Entry {
     /// Serves a request whose body is whole.
-    pub(super) async fn serve(
-        self: &Rc<Entry>,
-        head: &Parts,
-        body: Bytes,
-        arrived: Time,
-    ) -> Reply {
+    pub(super) async fn serve(self: &Rc<Entry>, head: &Parts, body: Bytes, arrived: Time) -> Reply {
         let id = head.headers.get(headers::REQUEST_ID);
         let Some(rules) = self.rules.current() else {
             return self.unroutable(Code::StoreDown, StatusCode::SERVICE_UNAVAILABLE, head);
@@ -273,7 +268,8 @@
     /// run twice. The first good answer counts; what is left over is given up.
     async fn attempt(&mut self, place: Place, elsewhere: bool) -> Next {
         let mut first = self.begin(&place, elsewhere);
-        let hedge = self.hedge_at().map(|at| tokio::time::sleep_until(self.entry.clock.instant(at)));
+        let hedge =
+            self.hedge_at().map(|at| tokio::time::sleep_until(self.entry.clock.instant(at)));
         let outcome = match hedge {
             None => first.await,
             Some(hedge) => tokio::select! {
--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -104,7 +104,7 @@
             self.suspect("another instance answers");
             return Outcome::NotRun { refusal: Refusal::Misdirected, reached: false };
         }
-        if answer.headers.contains_key(headers::NOT_RUN) {
+        if is_not_run(answer.status, &answer.headers) {
             return Outcome::NotRun { refusal: Refusal::Shed, reached: true };
         }
         let signed = answer.headers.contains_key(headers::SIGNATURE);
@@ -166,7 +166,12 @@
         }
         let (head, body) = response.into_parts();
         let echoed = head.headers.get(headers::REQUEST_ID).map(HeaderValue::as_bytes);
-        if echoed != Some(attempt.id.as_bytes()) {
+        // A target that did not run the request need not repeat its id.
+        let is_ours = match echoed {
+            Some(id) => id == attempt.id.as_bytes(),
+            None => is_not_run(head.status, &head.headers),
+        };
+        if !is_ours {
             return Err(Failure::Broken("an answer to another request".to_owned()));
         }
         let body = Limited::new(body, ANSWER_LIMIT).collect().await;
@@ -208,3 +213,8 @@
         Ok(request)
     }
 }
+
+/// Whether an answer says that the target did not run the request.
+fn is_not_run(status: StatusCode, headers: &HeaderMap) -> bool {
+    status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(headers::NOT_RUN)
+}
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -199,8 +199,11 @@
             state.closed = None;
             self.pool.clear();
         }
-        state.target =
-            Some(Target { life: life.clone(), service: beat.service.clone(), address: beat.address });
+        state.target = Some(Target {
+            life: life.clone(),
+            service: beat.service.clone(),
+            address: beat.address,
+        });
         state.admission.set_slots(beat.slots);
         if beat.cold_us > 0 {
             let most = self.cold_most(&beat.service);
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -47,7 +47,9 @@
         }
         let dropped = DROPPED.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            lines.extend(format!("{{\"message\":\"logs: left out\",\"lines\":{dropped}}}\n").bytes());
+            lines.extend(
+                format!("{{\"message\":\"logs: left out\",\"lines\":{dropped}}}\n").bytes(),
+            );
         }
         // Nothing can be told of a standard output that is gone.
         let _ = out.write_all(&lines).and_then(|()| out.flush());
--- a/crates/sidecar/src/peers/registry.rs
+++ b/crates/sidecar/src/peers/registry.rs
@@ -37,9 +37,8 @@
 
     async fn step(self: &Rc<Peers>, store: &Store, registered: &mut bool) -> Result<(), Error> {
         if !*registered {
-            let row = serde_json::to_vec(self.me()).map_err(|error| Error::Unavailable {
-                detail: error.to_string(),
-            })?;
+            let row = serde_json::to_vec(self.me())
+                .map_err(|error| Error::Unavailable { detail: error.to_string() })?;
             store.put(TABLE, &self.me().name, &row).await?;
             *registered = true;
         }
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -32,10 +32,7 @@
     }
 }
 
-async fn welcome(
-    peers: &Rc<Peers>,
-    incoming: Incoming,
-) -> Result<(Rc<Peer>, Connection), String> {
+async fn welcome(peers: &Rc<Peers>, incoming: Incoming) -> Result<(Rc<Peer>, Connection), String> {
     let link = incoming.await.map_err(|error| error.to_string())?;
     let (mut send, mut receive) = link.accept_bi().await.map_err(|error| error.to_string())?;
     let frame: Frame = wire::read(&mut receive).await.map_err(|error| error.to_string())?;
@@ -69,12 +66,7 @@
     }
 }
 
-async fn exchange(
-    peers: Rc<Peers>,
-    peer: Rc<Peer>,
-    mut send: SendStream,
-    mut receive: RecvStream,
-) {
+async fn exchange(peers: Rc<Peers>, peer: Rc<Peer>, mut send: SendStream, mut receive: RecvStream) {
     let frame: Frame = match wire::read(&mut receive).await {
         Ok(frame) => frame,
         Err(error) => {
@@ -101,12 +93,7 @@
 }
 
 /// Runs an attempt for a peer, until that gives it up.
-async fn serve(
-    peers: &Rc<Peers>,
-    attempt: Attempt,
-    mut send: SendStream,
-    mut receive: RecvStream,
-) {
+async fn serve(peers: &Rc<Peers>, attempt: Attempt, mut send: SendStream, mut receive: RecvStream) {
     let stopped = {
         let stopped = send.stopped();
         async move {
--- a/crates/sidecar/src/platform_side.rs
+++ b/crates/sidecar/src/platform_side.rs
@@ -80,9 +80,8 @@
         };
         let answer = answer.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(|request| async {
-                Ok::<_, Infallible>((*answer)(request).await)
-            });
+            let service =
+                service_fn(|request| async { Ok::<_, Infallible>((*answer)(request).await) });
             let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "platform: a connection broke");
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -39,7 +39,10 @@
     help: bool,
     #[options(help = "print the version", no_short)]
     version: bool,
-    #[options(help = "the settings file (default: as the platform's variable says)", meta = "PATH")]
+    #[options(
+        help = "the settings file (default: as the platform's variable says)",
+        meta = "PATH"
+    )]
     settings: Option<PathBuf>,
     #[options(help = "the port at which metrics are served; none without it", meta = "PORT")]
     metrics: Option<u16>,
@@ -129,8 +132,7 @@
     let guard =
         Guard::open(clock, rules.clone(), metrics.clone(), data_centre.clone(), settings.cold);
     let link = SocketAddr::new(settings.ip, settings.ports.0);
-    let node =
-        Node { name: settings.name.clone(), data_centre, address: link, started: wall_ms() };
+    let node = Node { name: settings.name.clone(), data_centre, address: link, started: wall_ms() };
     let peer_settings = peers::Settings { node, bind: link };
     let peers = Peers::spawn(peer_settings, clock, rules.clone(), guard.clone())?;
     let entry = Entry::open(
--- /dev/null
+++ b/crates/sidecar/tests/operators.rs
@@ -0,0 +1,112 @@
+//! Changes of the operator, and the store's troubles.
+
+use std::time::Duration;
+
+use standin::caller::Ask;
+use standin::deployment::{Deployment, eventually};
+use standin::store::Fault;
+
+const NODE: &str = env!("CARGO_BIN_EXE_bamboowheel-sidecar");
+/// A change is in force within this time of its acknowledgement.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+async fn status(deployment: &Deployment, at: usize, path: &str) -> u16 {
+    let ask = Ask { path, id: "config", timeout_ms: 300, ..Ask::default() };
+    deployment.ask(at, &ask).await.map_or(0, |answer| answer.status)
+}
+
+async fn up(vms: &[(&'static str, &'static str)]) -> Deployment {
+    let mut deployment = Deployment::start(NODE, vms).await;
+    deployment.up().await;
+    deployment
+}
+
+#[tokio::test]
+async fn a_change_is_in_force_everywhere_and_stays_so() {
+    let mut deployment = up(&[("dc-1", "a"), ("dc-2", "a")]).await;
+    deployment.configure(&[("/new/", "a", "safe")]);
+    for at in 0..2 {
+        let there = eventually(IN_FORCE, async || status(&deployment, at, "/new/x").await == 200);
+        assert!(there.await, "node {at}");
+        assert_eq!(status(&deployment, at, "/safe/x").await, 404, "node {at}");
+    }
+}
+
+#[tokio::test]
+async fn a_node_that_the_store_turns_away_learns_from_its_peers() {
+    for fault in [Fault::Busy, Fault::Reset, Fault::Silent] {
+        let mut deployment = up(&[("dc-1", "a"), ("dc-1", "a")]).await;
+        deployment.vms[1].door.set(fault);
+        deployment.configure(&[("/new/", "a", "safe")]);
+        let there = eventually(IN_FORCE, async || status(&deployment, 1, "/new/x").await == 200);
+        assert!(there.await, "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_change_is_in_force_soon_after_the_store_is_back() {
+    for fault in [Fault::Busy, Fault::Reset, Fault::Lost] {
+        let mut deployment = up(&[("dc-1", "a")]).await;
+        deployment.vms[0].door.set(fault);
+        deployment.configure(&[("/new/", "a", "safe")]);
+        deployment.store.forget();
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        assert_eq!(status(&deployment, 0, "/safe/x").await, 200, "{fault:?}: served meanwhile");
+        deployment.vms[0].door.set(Fault::None);
+        let there = eventually(IN_FORCE, async || status(&deployment, 0, "/new/x").await == 200);
+        assert!(there.await, "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn the_history_may_be_forgotten_at_any_time() {
+    let mut deployment = up(&[("dc-1", "a")]).await;
+    deployment.store.forget();
+    deployment.configure(&[("/new/", "a", "safe")]);
+    let there = eventually(IN_FORCE, async || status(&deployment, 0, "/new/x").await == 200);
+    assert!(there.await);
+}
+
+#[tokio::test]
+async fn a_data_centre_that_is_out_gets_nothing_until_it_is_back() {
+    let deployment = up(&[("dc-1", "a"), ("dc-2", "a"), ("dc-2", "b")]).await;
+    deployment.store.put("op", "evacuate/dc-1", b"{}");
+    let runs = || deployment.vms[0].target.runs().len();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = runs();
+    for at in 0..30 {
+        assert_eq!(status(&deployment, at % 3, "/safe/x").await, 200);
+    }
+    assert_eq!(runs(), before);
+    deployment.store.remove("op", "evacuate/dc-1");
+    let back = eventually(Duration::from_secs(3), async || {
+        status(&deployment, 0, "/safe/x").await;
+        runs() > before
+    });
+    assert!(back.await);
+}
+
+#[tokio::test]
+async fn nodes_find_each_other_when_the_store_comes_back() {
+    let mut deployment = Deployment::start(NODE, &[("dc-1", "a"), ("dc-1", "b")]).await;
+    deployment.configure(&[("/safe/", "a", "safe")]);
+    deployment.vms.iter().for_each(|vm| vm.door.set(Fault::Busy));
+    deployment.restart(0);
+    deployment.restart(1);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    deployment.vms.iter().for_each(|vm| vm.door.set(Fault::None));
+    let back = std::time::Instant::now();
+    deployment.settle().await;
+    assert_eq!(status(&deployment, 1, "/safe/x").await, 200);
+    assert!(back.elapsed() < Duration::from_secs(3), "{:?}", back.elapsed());
+}
+
+#[tokio::test]
+async fn an_idle_node_makes_few_calls_to_the_store() {
+    let deployment = up(&[("dc-1", "a"), ("dc-1", "a")]).await;
+    // A registration, a read of the nodes, a read of the operator's table, a call that waits.
+    let calls = deployment.store.calls();
+    assert!(calls <= 2 * 5, "{calls} calls of two nodes at their start");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(deployment.store.calls(), calls);
+}
--- /dev/null
+++ b/crates/sidecar/tests/targets.rs
@@ -0,0 +1,131 @@
+//! What targets say of themselves, and what is sent to them from then on.
+
+use std::time::{Duration, Instant};
+
+use standin::caller::Ask;
+use standin::deployment::{Deployment, eventually};
+
+const NODE: &str = env!("CARGO_BIN_EXE_bamboowheel-sidecar");
+
+/// Returns whether the first VM's target runs what is asked at the second one.
+async fn runs(deployment: &Deployment, id: &str) -> bool {
+    deployment
+        .ask(1, &Ask { id, ..Ask::default() })
+        .await
+        .is_some_and(|answer| answer.status == 200)
+}
+
+async fn up() -> Deployment {
+    let mut deployment = Deployment::start(NODE, &[("dc-1", "a"), ("dc-1", "b")]).await;
+    deployment.up().await;
+    assert!(runs(&deployment, "before").await);
+    deployment
+}
+
+#[tokio::test]
+async fn nothing_is_sent_to_a_target_that_said_it_leaves() {
+    let mut deployment = up().await;
+    assert_eq!(deployment.vms[0].beat("draining", 0.0).await, 200);
+    assert!(!runs(&deployment, "draining").await);
+    // A delayed heartbeat of before, and one after: leaving binds.
+    assert_eq!(deployment.vms[0].beat_as("i-vm-0", 1_000, 1, "ready", 0.0).await, 200);
+    assert!(!runs(&deployment, "delayed").await);
+    assert_eq!(deployment.vms[0].beat("ready", 0.0).await, 200);
+    assert!(!runs(&deployment, "again").await);
+}
+
+#[tokio::test]
+async fn nothing_is_sent_to_a_target_that_deregistered_without_draining() {
+    let mut deployment = up().await;
+    assert_eq!(deployment.vms[0].deregister().await, 200);
+    assert!(!runs(&deployment, "gone").await);
+    assert_eq!(deployment.vms[0].beat("ready", 0.0).await, 200);
+    assert!(!runs(&deployment, "beats on").await);
+}
+
+#[tokio::test]
+async fn a_leaving_that_was_acknowledged_binds_a_node_that_starts_again() {
+    let mut deployment = up().await;
+    assert_eq!(deployment.vms[0].beat("draining", 0.0).await, 200);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    deployment.vms[0].kill().await;
+    deployment.restart(0);
+    let ready = eventually(Duration::from_secs(5), async || deployment.vms[0].is_ready().await);
+    assert!(ready.await);
+    // Peers link anew within two seconds.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(deployment.vms[0].beat_as("i-vm-0", 1_000, 1, "ready", 0.0).await, 200);
+    assert!(!runs(&deployment, "restarted").await);
+}
+
+#[tokio::test]
+async fn a_new_life_under_the_same_id_serves_and_the_old_one_is_not_heard_any_more() {
+    let mut deployment = up().await;
+    assert_eq!(deployment.vms[0].beat("draining", 0.0).await, 200);
+    assert!(!runs(&deployment, "leaving").await);
+    assert_eq!(deployment.vms[0].beat_as("i-vm-0", 2_000, 1, "ready", 0.0).await, 200);
+    let serves = eventually(Duration::from_secs(2), async || runs(&deployment, "reborn").await);
+    assert!(serves.await);
+    assert_eq!(deployment.vms[0].beat_as("i-vm-0", 1_000, 99, "draining", 0.0).await, 200);
+    assert!(runs(&deployment, "old word").await);
+}
+
+#[tokio::test]
+async fn what_cannot_be_read_names_no_target_and_harms_none() {
+    let deployment = up().await;
+    let path = "/api/rpc?call=instances.heartbeat&of=i-vm-0";
+    let bodies = [
+        "",
+        "{",
+        "[]",
+        "{\"service\":7}",
+        "{\"service\":\"a\",\"address\":\"nowhere\",\"slots\":8,\"state\":\"ready\",\"warmupLeftS\":0,\"sequence\":9}",
+        "{\"service\":\"a\",\"address\":\"127.0.0.1:1\",\"slots\":8,\"state\":\"odd\",\"warmupLeftS\":0,\"sequence\":9}",
+        "{\"service\":\"a\",\"address\":\"127.0.0.1:1\",\"slots\":0,\"state\":\"ready\",\"warmupLeftS\":0,\"sequence\":9}",
+    ];
+    for body in bodies {
+        assert_eq!(deployment.vms[0].call(path, body).await, 400, "{body}");
+    }
+    assert!(runs(&deployment, "after").await);
+}
+
+#[tokio::test]
+async fn a_cold_target_is_sent_no_more_than_it_bears() {
+    let deployment = up().await;
+    assert_eq!(deployment.vms[0].beat_as("i-vm-0", 2_000, 1, "ready", 3.0).await, 200);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let deployment = std::rc::Rc::new(deployment);
+    let local = tokio::task::LocalSet::new();
+    for at in 0..120 {
+        let deployment = deployment.clone();
+        local.spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(at * 15)).await;
+            let id = format!("cold-{at}");
+            deployment.ask(1, &Ask { id: &id, timeout_ms: 600, ..Ask::default() }).await;
+        });
+    }
+    local.await;
+    let runs = deployment.vms[0].target.runs();
+    let sent: Vec<Instant> =
+        runs.iter().filter(|run| run.id.starts_with("cold")).map(|run| run.at).collect();
+    // Ten a second, one and a half times that, and five.
+    let most = sent.iter().map(|from| {
+        let second = from..&(*from + Duration::from_secs(1));
+        sent.iter().filter(|at| second.contains(at)).count()
+    });
+    let most = most.max().unwrap_or_default();
+    assert!((8..=20).contains(&most), "{most} in a second");
+}
+
+#[tokio::test]
+async fn a_target_that_may_have_started_anew_is_probed_before_it_is_sent_more() {
+    let deployment = up().await;
+    let probes = deployment.vms[0].target.probes();
+    deployment.vms[0].target.rename("i-other");
+    assert!(!runs(&deployment, "other").await);
+    deployment.vms[0].target.rename("i-vm-0");
+    let back = eventually(Duration::from_secs(2), async || runs(&deployment, "back").await).await;
+    assert!(back);
+    assert!(deployment.vms[0].target.probes() > probes);
+    assert_eq!(deployment.count("other"), 0);
+}
