Queue by what can still meet its objective, and refuse what waits too long

Change: what can still meet its objective is served first, the nearest first; a request waits two fifths of the time to its deadline at most, and is refused at once where it would not start by then.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -16,6 +16,9 @@
 const WORK_US: f64 = 100_000.0;
 /// Requests that wait per slot, at most; more could not start before their deadlines.
 const WAITING_PER_SLOT: usize = 4;
+/// The share of the time to its deadline that a request waits, at most: one that is refused in time
+/// can still be served when its caller comes back.
+const PATIENCE: f64 = 0.4;
 
 /// Why a request is not run.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -55,8 +58,12 @@
     pub id: u64,
     /// 0 is served first.
     pub priority: u32,
+    /// When its answer is worth less.
+    pub aim: Time,
     /// When its answer is worth nothing any more.
     pub deadline: Time,
+    /// How long the target is expected to work on it, in microseconds.
+    pub work_us: u64,
     /// Whether its entry has other targets to try, so that it should not wait here.
     pub elsewhere: bool,
 }
@@ -76,8 +83,14 @@
 struct Waiting {
     offering: Offering,
     arrived: Time,
+    /// When it is refused if it has not started.
+    until: Time,
 }
 
+/// The order in which requests are served: what can still meet its aim first, by priority, the
+/// nearest aim first.
+type Rank = (bool, u32, Time);
+
 /// What a cold target bears.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Warmup {
@@ -93,7 +106,7 @@
     slots: u32,
     /// Requests that run; may exceed `slots` after these shrank.
     running: u32,
-    /// In the order in which they are served: by priority, then by deadline.
+    /// In the order of their arrival.
     waiting: Vec<Waiting>,
     warmup: Option<Warmup>,
     sent: RateWindow,
@@ -152,13 +165,15 @@
         if offering.elsewhere {
             return Admitted::Refuse(if is_cold { Refusal::Cold } else { Refusal::Busy });
         }
-        let at = self.place(&offering);
-        let wait_us = self.wait_us(now, at);
+        let until = now.after((offering.deadline.since(now) as f64 * PATIENCE) as u64);
+        let rank = self.rank(now, &offering);
+        let ahead = self.waiting.iter().filter(|other| self.rank(now, &other.offering) <= rank);
+        let starts = now.after(self.wait_us(now, ahead.count()));
         let most = self.slots as usize * WAITING_PER_SLOT;
-        if self.waiting.len() >= most || now.after(wait_us) >= offering.deadline {
+        if self.waiting.len() >= most || starts >= until {
             return Admitted::Refuse(if is_cold { Refusal::Cold } else { Refusal::Full });
         }
-        self.waiting.insert(at, Waiting { offering, arrived: now });
+        self.waiting.push(Waiting { offering, arrived: now, until });
         Admitted::Wait
     }
 
@@ -166,14 +181,16 @@
     pub fn next(&mut self, now: Time) -> Vec<(u64, Admitted)> {
         let mut decided = Vec::new();
         self.waiting.retain(|waiting| {
-            let late = waiting.offering.deadline <= now;
-            if late {
-                decided.push((waiting.offering.id, Admitted::Refuse(Refusal::Late)));
+            let stays = waiting.until > now;
+            if !stays {
+                decided.push((waiting.offering.id, Admitted::Refuse(Refusal::Full)));
             }
-            !late
+            stays
         });
-        while !self.waiting.is_empty() && self.has_room(now) {
-            let waiting = self.waiting.remove(0);
+        while self.has_room(now) {
+            let ranks = self.waiting.iter().map(|waiting| self.rank(now, &waiting.offering));
+            let Some((at, _)) = ranks.enumerate().min_by_key(|(_, rank)| *rank) else { break };
+            let waiting = self.waiting.remove(at);
             self.begin(now);
             decided.push((waiting.offering.id, Admitted::Run));
         }
@@ -204,8 +221,8 @@
 
     /// Returns when something may be due without any event; `Time::NEVER` where nothing waits.
     pub fn due(&self, now: Time) -> Time {
-        let deadlines = self.waiting.iter().map(|waiting| waiting.offering.deadline);
-        let earliest = deadlines.min().unwrap_or(Time::NEVER);
+        let earliest = self.waiting.iter().map(|waiting| waiting.until).min();
+        let earliest = earliest.unwrap_or(Time::NEVER);
         match self.waiting.is_empty() || !self.is_cold(now) {
             true => earliest,
             false => earliest.min(self.sent.next_room(now).max(now.after(1_000))),
@@ -276,23 +293,18 @@
         bears && self.running < self.slots
     }
 
-    /// Returns where a request would wait.
-    fn place(&self, offering: &Offering) -> usize {
-        let key = |offering: &Offering| (offering.priority, offering.deadline);
-        self.waiting.partition_point(|waiting| key(&waiting.offering) <= key(offering))
+    fn rank(&self, now: Time, offering: &Offering) -> Rank {
+        let done = now.after((offering.work_us as f64 * self.slowness(now)) as u64);
+        (done > offering.aim, offering.priority, offering.aim)
     }
 
-    /// Returns how long a request that waits behind `ahead` others waits, and is then worked on.
+    /// Returns how long a request with `ahead` others before it waits, in microseconds.
     fn wait_us(&self, now: Time, ahead: usize) -> u64 {
-        let slots = f64::from(self.slots.max(1));
-        let rounds = (ahead as f64 + 1.0) / slots;
-        let by_slots = self.work_us * (rounds + 1.0);
+        let place = ahead as f64 + 1.0;
+        let by_slots = self.work_us * self.slowness(now) * place / f64::from(self.slots.max(1));
         match self.warmup.filter(|warmup| warmup.until > now) {
             None => by_slots as u64,
-            Some(warmup) => {
-                let by_rate = 1e6 * (ahead as f64 + 1.0) / f64::from(warmup.most.max(1));
-                by_slots.max(by_rate + self.work_us) as u64
-            }
+            Some(warmup) => by_slots.max(1e6 * place / f64::from(warmup.most.max(1))) as u64,
         }
     }
 }
--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -68,7 +68,7 @@
         if let Some(refusal) = self.refuses() {
             return not_run(refusal);
         }
-        let mut slot = match self.admit(attempt.priority, deadline, attempt.elsewhere).await {
+        let mut slot = match self.admit(attempt, deadline).await {
             Ok(slot) => slot,
             Err(refusal) => return not_run(refusal),
         };
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -9,7 +9,7 @@
 use policy::{Admission, Admitted, Offering, Refusal, Report, Time};
 use runtime::Clock;
 use tokio::sync::{Notify, oneshot, watch};
-use wire::link::{Life, Status};
+use wire::link::{Attempt, Life, Status};
 use world::Name;
 
 use crate::configuration::Rules;
@@ -321,11 +321,10 @@
     /// Asks for a slot. Dropping it gives it back.
     pub(super) async fn admit(
         self: &Rc<Guard>,
-        priority: u32,
+        attempt: &Attempt,
         deadline: Time,
-        elsewhere: bool,
     ) -> Result<Slot, Refusal> {
-        let mut slot = self.offer(priority, deadline, elsewhere)?;
+        let mut slot = self.offer(attempt, deadline)?;
         if let Some(decision) = &mut slot.decision {
             self.waiting.notify_one();
             let decided = decision.await.unwrap_or(Err(Refusal::Busy));
@@ -336,18 +335,21 @@
         Ok(slot)
     }
 
-    fn offer(
-        self: &Rc<Guard>,
-        priority: u32,
-        deadline: Time,
-        elsewhere: bool,
-    ) -> Result<Slot, Refusal> {
+    fn offer(self: &Rc<Guard>, attempt: &Attempt, deadline: Time) -> Result<Slot, Refusal> {
+        let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         state.next += 1;
         let id = state.next;
-        let offering = Offering { id, priority, deadline, elsewhere };
+        let offering = Offering {
+            id,
+            priority: attempt.priority,
+            aim: now.after(attempt.aim_us),
+            deadline,
+            work_us: attempt.work_us,
+            elsewhere: attempt.elsewhere,
+        };
         let mut slot = Slot { guard: self.clone(), id, runs: false, decision: None, took_us: None };
-        match state.admission.offer(self.clock.now(), offering) {
+        match state.admission.offer(now, offering) {
             Admitted::Run => slot.runs = true,
             Admitted::Wait => {
                 let (owner, decision) = oneshot::channel();
