--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -3,13 +3,15 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{RateWindow, Time};
+use crate::{Knee, RateWindow, Time, Use};
 
 /// Knowledge of how slow the target's VM is lasts this long, in microseconds: neighbours keep a VM
 /// busy for about a tenth of a second at a time.
 const SLOWNESS_US: u64 = 100_000;
 /// A VM this many times slower than usual is left where another target has room.
 const SLOW: f64 = 2.0;
+/// A VM less than this many times slower than usual has quiet neighbours.
+const QUIET: f64 = 1.5;
 /// Weight of one answer in the moving mean of the time that work takes.
 const WORK_WEIGHT: f64 = 0.05;
 /// Time that work is taken to need before any answer, in microseconds.
@@ -91,6 +93,15 @@
 /// nearest aim first.
 type Rank = (bool, u32, Time);
 
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    id: u64,
+    /// How long it was expected to take, in microseconds.
+    work_us: u64,
+    /// How full the target was when it started.
+    usage: Use,
+}
+
 /// What a cold target bears.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Warmup {
@@ -104,8 +115,9 @@
 pub struct Admission {
     /// Requests that the target runs at once.
     slots: u32,
-    /// Requests that run; may exceed `slots` after these shrank.
-    running: u32,
+    /// Requests that run; may be more than `slots` after these shrank.
+    running: Vec<Running>,
+    knee: Knee,
     /// In the order of their arrival.
     waiting: Vec<Waiting>,
     warmup: Option<Warmup>,
@@ -120,7 +132,8 @@
     fn default() -> Admission {
         Admission {
             slots: 0,
-            running: 0,
+            running: Vec::new(),
+            knee: Knee::default(),
             waiting: Vec::new(),
             warmup: None,
             sent: RateWindow::default(),
@@ -159,7 +172,7 @@
             return Admitted::Refuse(Refusal::Slow);
         }
         if has_room && self.waiting.is_empty() {
-            self.begin(now);
+            self.begin(now, &offering);
             return Admitted::Run;
         }
         if offering.elsewhere {
@@ -191,7 +204,7 @@
             let ranks = self.waiting.iter().map(|waiting| self.rank(now, &waiting.offering));
             let Some((at, _)) = ranks.enumerate().min_by_key(|(_, rank)| *rank) else { break };
             let waiting = self.waiting.remove(at);
-            self.begin(now);
+            self.begin(now, &waiting.offering);
             decided.push((waiting.offering.id, Admitted::Run));
         }
         decided
@@ -211,11 +224,16 @@
     }
 
     /// Notes that a request ended, and how long the target took where it answered, in microseconds.
-    pub fn done(&mut self, now: Time, took_us: Option<u64>) {
-        self.running = self.running.saturating_sub(1);
-        if let Some(took_us) = took_us {
-            let usual_us = took_us as f64 / self.slowness(now).max(1.0);
-            self.work_us += (usual_us - self.work_us) * WORK_WEIGHT;
+    pub fn done(&mut self, now: Time, id: u64, took_us: Option<u64>) {
+        let Some(at) = self.running.iter().position(|running| running.id == id) else { return };
+        let running = self.running.swap_remove(at);
+        let Some(took_us) = took_us else { return };
+        let slowness = self.slowness(now);
+        let usual_us = took_us as f64 / slowness.max(1.0);
+        self.work_us += (usual_us - self.work_us) * WORK_WEIGHT;
+        if slowness < QUIET {
+            let ratio = took_us as f64 / running.work_us.max(1) as f64;
+            self.knee.answered(now, running.usage, ratio);
         }
     }
 
@@ -234,7 +252,7 @@
         if !self.waiting.is_empty() {
             return -(self.waiting.len() as i32);
         }
-        let slots = self.slots.saturating_sub(self.running);
+        let slots = self.knee.slots(now, self.slots).saturating_sub(self.running());
         let room = match self.warmup.filter(|warmup| warmup.until > now) {
             Some(warmup) => slots.min(self.sent.room(now, warmup.most)),
             None => slots,
@@ -244,7 +262,7 @@
 
     /// Returns how many requests run.
     pub fn running(&self) -> u32 {
-        self.running
+        self.running.len() as u32
     }
 
     /// Returns how many requests wait.
@@ -280,8 +298,13 @@
         self.waiting.iter().map(|waiting| now.since(waiting.arrived)).max().unwrap_or_default()
     }
 
-    fn begin(&mut self, now: Time) {
-        self.running += 1;
+    fn begin(&mut self, now: Time, offering: &Offering) {
+        let Offering { id, work_us, .. } = *offering;
+        let usage = match self.slowness(now) < QUIET && !self.is_cold(now) {
+            true => Knee::usage(self.running() + 1, self.slots),
+            false => Use::Unclear,
+        };
+        self.running.push(Running { id, work_us, usage });
         self.sent.sent(now);
     }
 
@@ -290,7 +313,7 @@
             Some(warmup) => self.sent.room(now, warmup.most) > 0,
             None => true,
         };
-        bears && self.running < self.slots
+        bears && self.running() < self.knee.slots(now, self.slots)
     }
 
     fn rank(&self, now: Time, offering: &Offering) -> Rank {
@@ -301,7 +324,8 @@
     /// Returns how long a request with `ahead` others before it waits, in microseconds.
     fn wait_us(&self, now: Time, ahead: usize) -> u64 {
         let place = ahead as f64 + 1.0;
-        let by_slots = self.work_us * self.slowness(now) * place / f64::from(self.slots.max(1));
+        let slots = f64::from(self.knee.slots(now, self.slots).max(1));
+        let by_slots = self.work_us * self.slowness(now) * place / slots;
         match self.warmup.filter(|warmup| warmup.until > now) {
             None => by_slots as u64,
             Some(warmup) => by_slots.max(1e6 * place / f64::from(warmup.most.max(1))) as u64,
--- /dev/null
+++ b/crates/policy/src/knee.rs
@@ -0,0 +1,98 @@
+//! Whether a target slows down when it is nearly full.
+//!
+//! Some targets run more requests at once than they can work on at full speed. Beyond that point
+//! each one more slows all others, and fewer are answered in a second. The knee compares how long
+//! work takes while the target is nearly full with how long it takes while it is not, on a VM whose
+//! neighbours are quiet.
+
+use crate::Time;
+
+/// Up to this share of its slots a target is not nearly full.
+const LOW_USE: f64 = 0.65;
+/// Beyond this share of its slots a target may slow down.
+const KNEE: f64 = 0.8;
+/// Times that work takes longer from which the knee is taken to exist.
+const RATIO: f64 = 1.2;
+/// Answers from which a median is trusted.
+const ANSWERS: u32 = 30;
+/// How much one answer moves a median, as a share of the expected time.
+const STEP: f64 = 0.03;
+/// A median starts here, and a time beyond three times the expected one counts as that.
+const START: f64 = 1.0;
+/// How long a target is kept below its knee before that is looked at again, in microseconds.
+const KEPT_US: u64 = 20_000_000;
+
+/// How full a target was when a request started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// Far from full.
+    Low,
+    /// Nearly full.
+    High,
+    /// In between, or its VM was slow.
+    Unclear,
+}
+
+/// A running median.
+#[derive(Clone, Copy, Debug)]
+struct Median {
+    value: f64,
+    answers: u32,
+}
+
+impl Default for Median {
+    fn default() -> Median {
+        Median { value: START, answers: 0 }
+    }
+}
+
+impl Median {
+    fn add(&mut self, value: f64) {
+        self.answers += 1;
+        self.value += if value > self.value { STEP } else { -STEP };
+        self.value = self.value.max(STEP);
+    }
+}
+
+/// What is known of one target's knee.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Knee {
+    low: Median,
+    high: Median,
+    /// The target is kept below its knee until then.
+    until: Time,
+}
+
+impl Knee {
+    /// Returns how full a target is that runs `running` requests, one that starts now among them.
+    pub fn usage(running: u32, slots: u32) -> Use {
+        let share = f64::from(running) / f64::from(slots.max(1));
+        match share {
+            share if share <= LOW_USE => Use::Low,
+            share if share > KNEE => Use::High,
+            _ => Use::Unclear,
+        }
+    }
+
+    /// Takes in an answer that took `ratio` times the expected time.
+    pub fn answered(&mut self, now: Time, usage: Use, ratio: f64) {
+        match usage {
+            Use::Low => self.low.add(ratio),
+            Use::High => self.high.add(ratio),
+            Use::Unclear => return,
+        }
+        let known = self.low.answers >= ANSWERS && self.high.answers >= ANSWERS;
+        if known && now >= self.until && self.high.value > self.low.value * RATIO {
+            self.until = now.after(KEPT_US);
+            self.high = Median::default();
+        }
+    }
+
+    /// Returns how many of its slots a target is given.
+    pub fn slots(&self, now: Time, slots: u32) -> u32 {
+        match self.until > now {
+            true => ((f64::from(slots) * KNEE) as u32).max(1),
+            false => slots,
+        }
+    }
+}
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -445,7 +445,7 @@
         let mut state = self.guard.state.borrow_mut();
         if self.runs || started {
             let now = self.guard.clock.now();
-            state.admission.done(now, self.took_us);
+            state.admission.done(now, self.id, self.took_us);
             drop(state);
             self.guard.start();
         } else if self.decision.is_some() {
