--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -161,6 +161,16 @@
         self.slowness_at = now;
     }
 
+    /// Returns how many times longer work takes when the target is nearly full, once that is known.
+    pub fn strain(&self) -> Option<f64> {
+        self.knee.strain()
+    }
+
+    /// Takes in the average of that over the service's targets.
+    pub fn set_service_strain(&mut self, strain: Option<f64>) {
+        self.knee.set_service(strain);
+    }
+
     /// Decides on a request.
     pub fn offer(&mut self, now: Time, offering: Offering) -> Admitted {
         if offering.deadline <= now {
@@ -233,7 +243,7 @@
         self.work_us += (usual_us - self.work_us) * WORK_WEIGHT;
         if slowness < QUIET {
             let ratio = took_us as f64 / running.work_us.max(1) as f64;
-            self.knee.answered(now, running.usage, ratio);
+            self.knee.answered(running.usage, ratio);
         }
     }
 
@@ -252,7 +262,7 @@
         if !self.waiting.is_empty() {
             return -(self.waiting.len() as i32);
         }
-        let slots = self.knee.slots(now, self.slots).saturating_sub(self.running());
+        let slots = self.knee.slots(self.slots).saturating_sub(self.running());
         let room = match self.warmup.filter(|warmup| warmup.until > now) {
             Some(warmup) => slots.min(self.sent.room(now, warmup.most)),
             None => slots,
@@ -313,7 +323,7 @@
             Some(warmup) => self.sent.room(now, warmup.most) > 0,
             None => true,
         };
-        bears && self.running() < self.knee.slots(now, self.slots)
+        bears && self.running() < self.knee.slots(self.slots)
     }
 
     fn rank(&self, now: Time, offering: &Offering) -> Rank {
@@ -324,7 +334,7 @@
     /// Returns how long a request with `ahead` others before it waits, in microseconds.
     fn wait_us(&self, now: Time, ahead: usize) -> u64 {
         let place = ahead as f64 + 1.0;
-        let slots = f64::from(self.knee.slots(now, self.slots).max(1));
+        let slots = f64::from(self.knee.slots(self.slots).max(1));
         let by_slots = self.work_us * self.slowness(now) * place / slots;
         match self.warmup.filter(|warmup| warmup.until > now) {
             None => by_slots as u64,
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -42,6 +42,9 @@
     pub slots: u16,
     /// How slow the VM is, in tenths, 10 being as usual.
     pub slowness: u8,
+    /// How many times longer work takes when the target is nearly full, in hundredths; 0 where that
+    /// is not known.
+    pub strain: u16,
 }
 
 /// What an entry knows of one target.
--- a/crates/policy/src/knee.rs
+++ b/crates/policy/src/knee.rs
@@ -3,25 +3,21 @@
 //! Some targets run more requests at once than they can work on at full speed. Beyond that point
 //! each one more slows all others, and fewer are answered in a second. The knee compares how long
 //! work takes while the target is nearly full with how long it takes while it is not, on a VM whose
-//! neighbours are quiet.
-
-use crate::Time;
+//! neighbours are quiet. One target's answers say little in a few seconds, so that what the guards
+//! of a service found is averaged.
 
 /// Up to this share of its slots a target is not nearly full.
 const LOW_USE: f64 = 0.65;
 /// Beyond this share of its slots a target may slow down.
 const KNEE: f64 = 0.8;
 /// Times that work takes longer from which the knee is taken to exist.
-const RATIO: f64 = 1.2;
+const RATIO: f64 = 1.25;
 /// Answers from which a median is trusted.
 const ANSWERS: u32 = 30;
 /// How much one answer moves a median, as a share of the expected time.
 const STEP: f64 = 0.03;
 /// A median starts here, and a time beyond three times the expected one counts as that.
 const START: f64 = 1.0;
-/// How long a target is kept below its knee before that is looked at again, in microseconds.
-const KEPT_US: u64 = 20_000_000;
-
 /// How full a target was when a request started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Use {
@@ -59,8 +55,8 @@
 pub struct Knee {
     low: Median,
     high: Median,
-    /// The target is kept below its knee until then.
-    until: Time,
+    /// The average over the service's targets, where any is known.
+    service: Option<f64>,
 }
 
 impl Knee {
@@ -75,22 +71,28 @@
     }
 
     /// Takes in an answer that took `ratio` times the expected time.
-    pub fn answered(&mut self, now: Time, usage: Use, ratio: f64) {
+    pub fn answered(&mut self, usage: Use, ratio: f64) {
         match usage {
             Use::Low => self.low.add(ratio),
             Use::High => self.high.add(ratio),
-            Use::Unclear => return,
+            Use::Unclear => {}
         }
+    }
+
+    /// Returns how many times longer work takes when the target is nearly full, once that is known.
+    pub fn strain(&self) -> Option<f64> {
         let known = self.low.answers >= ANSWERS && self.high.answers >= ANSWERS;
-        if known && now >= self.until && self.high.value > self.low.value * RATIO {
-            self.until = now.after(KEPT_US);
-            self.high = Median::default();
-        }
+        known.then(|| self.high.value / self.low.value)
+    }
+
+    /// Takes in the average over the service's targets.
+    pub fn set_service(&mut self, strain: Option<f64>) {
+        self.service = strain;
     }
 
     /// Returns how many of its slots a target is given.
-    pub fn slots(&self, now: Time, slots: u32) -> u32 {
-        match self.until > now {
+    pub fn slots(&self, slots: u32) -> u32 {
+        match self.service.is_some_and(|strain| strain > RATIO) {
             true => ((f64::from(slots) * KNEE) as u32).max(1),
             false => slots,
         }
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -126,9 +126,24 @@
             free: admission.free(now).clamp(i32::from(i16::MIN), i32::from(i16::MAX)) as i16,
             slots: admission.slots().min(u32::from(u16::MAX)) as u16,
             slowness: (admission.slowness(now) * 10.0).clamp(0.0, 255.0) as u8,
+            strain: admission.strain().map_or(0, |strain| (strain * 100.0) as u16),
         }
     }
 
+    /// Takes in what the guards of a service's other targets found of their strain, and averages it
+    /// with what this one found.
+    pub fn compare_strain(&self, others: impl Iterator<Item = f64>) {
+        let admission = &mut self.state.borrow_mut().admission;
+        let known = others.chain(admission.strain());
+        let (sum, count) = known.fold((0.0, 0), |(sum, count), strain| (sum + strain, count + 1));
+        admission.set_service_strain((count > 0).then(|| sum / f64::from(count)));
+    }
+
+    /// Returns the service of the target, while one is known.
+    pub fn service(&self) -> Option<Name> {
+        self.state.borrow().target.as_ref().map(|target| target.service.clone())
+    }
+
     /// Returns why the guard takes nothing, where it does not.
     pub fn refuses(&self) -> Option<Refusal> {
         let state = self.state.borrow();
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -242,6 +242,7 @@
     async fn report(self: Rc<Peers>) {
         loop {
             tokio::time::sleep(REPORT).await;
+            self.compare_strain();
             let status = self.guard.status();
             self.own.borrow_mut().reported(self.clock.now(), status.report);
             let Ok(datagram) = wire::encode(&Datagram::Status(Box::new(status))) else { continue };
@@ -255,6 +256,19 @@
         }
     }
 
+    /// Tells the guard what others found of targets of the same service.
+    fn compare_strain(&self) {
+        let Some(service) = self.guard.service() else { return };
+        let mut strains = Vec::new();
+        self.directory.each(|peer| {
+            if peer.serves(&service) {
+                let strain = peer.view.borrow().report.strain;
+                strains.extend((strain > 0).then(|| f64::from(strain) / 100.0));
+            }
+        });
+        self.guard.compare_strain(strains.into_iter());
+    }
+
     /// Tells every peer at once of what they must not learn late.
     async fn tell_changes(self: Rc<Peers>) {
         let mut target = self.guard.subscribe();
