Find a running target at a node's start; tests of the load patterns and the formats

Change: the node probes the target's address from its settings once it has routes, and takes over an instance that answers 200, unless a peer remembers that it left.

--- /dev/null
+++ b/crates/policy/tests/heavy_days.rs
@@ -0,0 +1,262 @@
+//! Load patterns of heavy days, played on the decisions in virtual time: noisy neighbours, targets
+//! that slow down when nearly full, more work than can meet its objective, cold starts, repeats.
+
+use policy::{
+    Admission, Admitted, Candidate, Knee, Offering, RateWindow, Refusal, RepeatBound, RepeatBudget,
+    Report, Time, Use, View, Weight, choose,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const MS: u64 = 1_000;
+
+fn at(ms: u64) -> Time {
+    Time(1_000_000_000 + ms * MS)
+}
+
+fn offering(id: u64, aim_ms: u64, deadline_ms: u64) -> Offering {
+    let (aim, deadline) = (at(aim_ms), at(deadline_ms));
+    Offering { id, priority: 1, aim, deadline, work_us: 100 * MS, elsewhere: false }
+}
+
+fn admission(slots: u32) -> Admission {
+    let mut admission = Admission::default();
+    admission.set_slots(slots);
+    admission
+}
+
+mod late_objectives {
+    use super::*;
+
+    #[test]
+    fn what_can_still_meet_its_objective_goes_first_the_nearest_first() {
+        let mut admission = admission(1);
+        assert_eq!(admission.offer(at(0), offering(1, 300, 2_000)), Admitted::Run);
+        // By the time a slot is free, 2 is past its objective, and 4 is nearer to its than 3.
+        for (id, aim_ms) in [(2, 150), (3, 900), (4, 600)] {
+            assert_eq!(admission.offer(at(0), offering(id, aim_ms, 2_000)), Admitted::Wait);
+        }
+        let mut order = Vec::new();
+        for (done, id) in [(100, 1), (200, 4), (300, 3)] {
+            admission.done(at(done), id, Some(100 * MS));
+            order.extend(admission.next(at(done)).into_iter().map(|(id, _)| id));
+        }
+        assert_eq!(order, [4, 3, 2]);
+    }
+
+    #[test]
+    fn what_cannot_be_served_is_refused_at_once_and_nothing_waits_to_its_deadline() {
+        let mut admission = admission(2);
+        let offers = (0..40).map(|id| admission.offer(at(0), offering(id, 300, 1_000)));
+        let offers: Vec<Admitted> = offers.collect();
+        let waits = offers.iter().filter(|admitted| **admitted == Admitted::Wait).count();
+        assert_eq!(offers[0], Admitted::Run);
+        assert_eq!(offers[39], Admitted::Refuse(Refusal::Full));
+        // Two slots start a request each 50 ms, and none waits longer than 400 ms.
+        assert!((5..=8).contains(&waits), "{waits} wait");
+        let due = admission.due(at(0));
+        assert_eq!(due, at(400));
+        let refused = admission.next(due);
+        assert_eq!(refused.len(), waits);
+        assert!(refused.iter().all(|(_, end)| *end == Admitted::Refuse(Refusal::Full)));
+    }
+
+    #[test]
+    fn a_request_that_others_may_take_does_not_wait() {
+        let mut admission = admission(1);
+        assert_eq!(admission.offer(at(0), offering(1, 300, 1_000)), Admitted::Run);
+        let elsewhere = Offering { elsewhere: true, ..offering(2, 300, 1_000) };
+        assert_eq!(admission.offer(at(0), elsewhere), Admitted::Refuse(Refusal::Busy));
+        assert_eq!(admission.offer(at(1_000), elsewhere), Admitted::Refuse(Refusal::Late));
+    }
+
+    #[test]
+    fn slots_are_never_exceeded_whatever_happens() {
+        for seed in 0..50 {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let mut admission = admission(4);
+            let mut running = Vec::new();
+            for step in 0..2_000 {
+                let now = at(step * 7);
+                let id = step;
+                match rng.random_range(0..3) {
+                    0 | 1 => {
+                        let aim_ms = step * 7 + rng.random_range(0..500);
+                        let deadline_ms = aim_ms + rng.random_range(0..700);
+                        let offered = admission.offer(now, offering(id, aim_ms, deadline_ms));
+                        running.extend((offered == Admitted::Run).then_some(id));
+                    }
+                    _ if running.is_empty() => {}
+                    _ => {
+                        let at = rng.random_range(0..running.len());
+                        admission.done(now, running.swap_remove(at), Some(50 * MS));
+                    }
+                }
+                let decided = admission.next(now).into_iter();
+                let runs = decided.filter(|(_, admitted)| *admitted == Admitted::Run);
+                running.extend(runs.map(|(id, _)| id));
+                assert!(running.len() <= 4, "seed {seed}");
+                assert_eq!(running.len(), admission.running() as usize, "seed {seed}");
+            }
+        }
+    }
+}
+
+mod noisy_neighbours {
+    use super::*;
+
+    fn view(slowness: u8, free: i16, now: Time) -> View {
+        let mut view = View::default();
+        view.reported(now, Report { open: true, free, slots: 12, slowness, strain: 0 });
+        view
+    }
+
+    /// Returns how often each of two views is chosen of 1,000 times.
+    fn chosen(now: Time, views: &[(View, bool); 2], bytes: f64) -> [usize; 2] {
+        let mut rng = SmallRng::seed_from_u64(7);
+        let weight = Weight { work_us: 100.0 * MS as f64, bytes };
+        let mut counts = [0; 2];
+        for _ in 0..1_000 {
+            let candidates = views.iter().map(|(view, near)| Candidate { view, near: *near });
+            counts[choose(now, &mut rng, &weight, candidates).unwrap()] += 1;
+        }
+        counts
+    }
+
+    #[test]
+    fn a_vm_that_is_slow_now_is_left_alone_and_old_news_of_it_is_worth_little() {
+        let views = [(view(50, 6, at(0)), true), (view(10, 6, at(0)), true)];
+        assert_eq!(chosen(at(10), &views, 500.0)[0], 0);
+        let late = chosen(at(1_000), &views, 500.0);
+        assert!(late[0] > 300, "{late:?}");
+    }
+
+    #[test]
+    fn a_guard_sends_a_request_elsewhere_while_its_vm_is_slow() {
+        let mut admission = admission(8);
+        admission.set_slowness(at(0), 5.0);
+        let elsewhere = Offering { elsewhere: true, ..offering(1, 300, 1_000) };
+        assert_eq!(admission.offer(at(10), elsewhere), Admitted::Refuse(Refusal::Slow));
+        assert_eq!(admission.offer(at(10), offering(2, 300, 1_000)), Admitted::Run);
+        assert_eq!(admission.offer(at(200), elsewhere), Admitted::Run);
+    }
+
+    #[test]
+    fn uploads_stay_in_their_data_centre_and_small_requests_may_leave_it() {
+        let views = [(view(10, 2, at(0)), true), (view(10, 11, at(0)), false)];
+        assert_eq!(chosen(at(1), &views, 60_000.0)[1], 0);
+        assert!(chosen(at(1), &views, 500.0)[1] > 500);
+    }
+
+    #[test]
+    fn a_target_that_fails_is_chosen_less_and_a_silent_one_last() {
+        let mut failing = view(10, 6, at(0));
+        (0..10).for_each(|_| failing.ended(at(0), false));
+        let views = [(failing, true), (view(10, 6, at(0)), true)];
+        assert_eq!(chosen(at(10), &views, 500.0)[0], 0);
+        let mut silent = view(10, 12, at(0));
+        silent.doubt(at(0));
+        let views = [(silent, true), (view(50, 0, at(0)), true)];
+        assert_eq!(chosen(at(10), &views, 500.0)[0], 0);
+    }
+}
+
+mod nearly_full {
+    use super::*;
+
+    /// Plays answers of a target that works `strain` times slower beyond four fifths of its slots.
+    fn learn(strain: f64, seed: u64) -> Option<f64> {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut knee = Knee::default();
+        for _ in 0..400 {
+            let usage = Knee::usage(rng.random_range(1..=12), 12);
+            let work = rng.random_range(0.6..1.4);
+            let ratio = if usage == Use::High { work * strain } else { work };
+            knee.answered(usage, ratio);
+        }
+        knee.strain()
+    }
+
+    #[test]
+    fn a_target_that_slows_down_is_told_from_one_that_does_not() {
+        for seed in 0..20 {
+            assert!(learn(1.7, seed).unwrap() > 1.25, "seed {seed}");
+            assert!(learn(1.0, seed).unwrap() < 1.25, "seed {seed}");
+        }
+    }
+
+    #[test]
+    fn it_is_kept_below_that_point_once_its_service_is_known_to_slow_down() {
+        let mut admission = admission(12);
+        let mut free = |strain| {
+            admission.set_service_strain(strain);
+            admission.free(at(0))
+        };
+        assert_eq!([free(None), free(Some(1.1)), free(Some(1.6))], [12, 12, 9]);
+    }
+}
+
+mod cold_starts {
+    use super::*;
+
+    #[test]
+    fn no_second_holds_more_than_a_cold_target_bears() {
+        let mut admission = admission(50);
+        admission.set_warmup(at(5_000), 30);
+        let mut sent: Vec<u64> = Vec::new();
+        for ms in 0..4_000 {
+            let offered = admission.offer(at(ms), offering(ms, ms + 300, ms + 20));
+            let decided = admission.next(at(ms)).into_iter();
+            let started = decided.filter(|(_, admitted)| *admitted == Admitted::Run).count();
+            let started = started + usize::from(offered == Admitted::Run);
+            sent.extend(std::iter::repeat_n(ms, started));
+            (0..=ms).for_each(|id| admission.done(at(ms), id, None));
+        }
+        for from in &sent {
+            let second = *from..*from + 1_000;
+            let count = sent.iter().filter(|ms| second.contains(ms)).count();
+            assert!(count <= 30, "{count} within a second of {from} ms");
+        }
+        assert!(sent.len() > 100, "{} in four seconds", sent.len());
+    }
+
+    #[test]
+    fn the_window_slides() {
+        let mut window = RateWindow::default();
+        (0..3).for_each(|step| window.sent(at(step * 400)));
+        assert_eq!(window.room(at(900), 3), 0);
+        assert_eq!(window.room(at(1_100), 3), 1);
+        assert_eq!(window.next_room(at(1_100)), at(1_450));
+    }
+}
+
+mod repeats {
+    use super::*;
+
+    const BOUND: RepeatBound = RepeatBound { ratio: 0.2, slack: 64.0, window_us: 10_000_000 };
+
+    #[test]
+    fn nodes_together_keep_the_bound_without_agreement() {
+        let nodes = 13;
+        let mut budgets = vec![RepeatBudget::default(); nodes];
+        let (mut requests, mut repeats) = (0, 0);
+        for step in 0..8_000 {
+            let budget = &mut budgets[step % nodes];
+            let now = Time(step as u64 * 1_000);
+            budget.request(now, &BOUND);
+            requests += 1;
+            repeats += usize::from(budget.take(now, &BOUND, nodes));
+        }
+        let most = 0.2 * requests as f64 + 64.0;
+        assert!(repeats as f64 <= most, "{repeats} of at most {most}");
+        assert!(repeats > 500, "{repeats}");
+    }
+
+    #[test]
+    fn what_was_spent_long_ago_is_forgotten() {
+        let mut budget = RepeatBudget::default();
+        while budget.take(Time(0), &BOUND, 4) {}
+        assert!(!budget.take(Time(5_000_000), &BOUND, 4));
+        assert!(budget.take(Time(11_000_000), &BOUND, 4));
+    }
+}
--- a/crates/sidecar/src/guard/lives.rs
+++ b/crates/sidecar/src/guard/lives.rs
@@ -2,10 +2,14 @@
 
 use platform::heartbeat::Report;
 use wire::link::Life;
+use world::Name;
 
 /// Lives that are remembered as over. A delayed heartbeat comes seconds late, not many lives late.
 const REMEMBERED: usize = 16;
 
+/// The start of a life that was found by a health check, which does not tell it.
+const UNKNOWN: u64 = 0;
+
 /// What a heartbeat means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Beat {
@@ -29,6 +33,12 @@
     /// Takes in a heartbeat.
     pub fn heard(&mut self, report: &Report) -> Beat {
         let life = Life { id: report.id.clone(), born: report.born };
+        if let Some((known, _)) = &mut self.current
+            && known.id == life.id
+            && known.born == UNKNOWN
+        {
+            known.born = life.born;
+        }
         match &mut self.current {
             Some((known, sequence)) if *known == life => {
                 if report.sequence <= *sequence {
@@ -45,6 +55,18 @@
         }
     }
 
+    /// Takes an instance that answered a health check for the current life, where none is known.
+    /// Returns it where it did not leave before.
+    pub fn found(&mut self, id: &Name) -> Option<Life> {
+        let left = self.over.iter().any(|life| life.id == *id);
+        if self.current.is_some() || left {
+            return None;
+        }
+        let life = Life { id: id.clone(), born: UNKNOWN };
+        self.current = Some((life.clone(), 0));
+        Some(life)
+    }
+
     /// Returns the current life.
     pub fn current(&self) -> Option<&Life> {
         self.current.as_ref().map(|(life, _)| life)
@@ -52,6 +74,12 @@
 
     /// Notes that a life left.
     pub fn left(&mut self, life: Life) {
+        if let Some((known, _)) = &mut self.current
+            && known.id == life.id
+            && known.born == UNKNOWN
+        {
+            known.born = life.born;
+        }
         if self.is_over(&life) {
             return;
         }
--- a/crates/sidecar/src/guard/mod.rs
+++ b/crates/sidecar/src/guard/mod.rs
@@ -7,4 +7,5 @@
 mod state;
 
 pub use attempt::{Answer, Outcome};
+pub use probe::search;
 pub use state::Guard;
--- a/crates/sidecar/src/guard/probe.rs
+++ b/crates/sidecar/src/guard/probe.rs
@@ -1,13 +1,16 @@
 //! Health checks of the target. They are priced, so that one is sent only where the target may have
 //! started anew or turned cold.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request};
+use http::response::Parts as Head;
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use platform::headers;
+use world::Name;
 
 use crate::guard::pool;
 use crate::guard::state::{Guard, Target};
@@ -53,29 +56,49 @@
     }
 }
 
+/// Looks for the target of a node that has just started, until it is found or heard of: its next
+/// heartbeat may be more than a second away.
+pub async fn search(guard: Rc<Guard>, address: SocketAddr, service: Name) {
+    let mut rules = guard.rules.subscribe();
+    // An error means that the node ends.
+    let _ = rules.wait_for(|revision| *revision > 0).await;
+    while guard.service().is_none() {
+        if let Ok(Some(head)) = ask(&guard, address, &service).await
+            && head.status == StatusCode::OK
+            && let Some(id) = headers::answering(&head.headers)
+            && let Some(load) = headers::load(&head.headers)
+        {
+            let cold_us = headers::cold_us(&head.headers);
+            return guard.adopt(&id, service, address, load.slots, cold_us);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
 async fn probe(guard: &Guard, target: &Target) -> Found {
+    match ask(guard, target.address, &target.service).await {
+        Ok(Some(head)) => judge(target, &head.headers),
+        // Its health checks may fail while it serves, and work shows it.
+        Ok(None) => Found::Here(0),
+        Err(error) => Found::Absent(error.to_string()),
+    }
+}
+
+/// Sends a health check. An error means that there is no connection, and nothing that there is no
+/// answer.
+async fn ask(guard: &Guard, address: SocketAddr, service: &str) -> std::io::Result<Option<Head>> {
     let rules = guard.rules.current();
-    let rule = rules.as_ref().and_then(|rules| rules.routing.service(&target.service));
+    let rule = rules.as_ref().and_then(|rules| rules.routing.service(service));
     let path = rule.map_or("/health", |rule| &rule.health);
-    let mut connection = match pool::connect(target.address).await {
-        Ok(connection) => connection,
-        Err(error) => return Found::Absent(error.to_string()),
-    };
+    let mut connection = pool::connect(address).await?;
     let request = Request::builder()
         .uri(path)
-        .header("host", target.address.to_string())
-        .body(Full::<Bytes>::default());
-    let request = match request {
-        Ok(request) => request,
-        Err(error) => return Found::Absent(error.to_string()),
-    };
+        .header("host", address.to_string())
+        .body(Full::<Bytes>::default())
+        .map_err(std::io::Error::other)?;
     guard.metrics.probes.inc();
     let answer = tokio::time::timeout(ANSWER, connection.send_request(request)).await;
-    match answer {
-        Ok(Ok(answer)) => judge(target, answer.headers()),
-        // Its health checks may fail while it serves, and work shows it.
-        Ok(Err(_)) | Err(_) => Found::Here(0),
-    }
+    Ok(answer.ok().and_then(Result::ok).map(|answer| answer.into_parts().0))
 }
 
 fn judge(target: &Target, answered: &HeaderMap) -> Found {
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -242,6 +242,30 @@
         }
     }
 
+    /// Takes over a target that answered a health check before any heartbeat.
+    pub(super) fn adopt(
+        &self,
+        id: &Name,
+        service: Name,
+        address: SocketAddr,
+        slots: u32,
+        cold_us: u64,
+    ) {
+        let mut state = self.state.borrow_mut();
+        if state.target.is_some() {
+            return;
+        }
+        let Some(life) = state.lives.found(id) else { return };
+        tracing::info!(id = &**id, service = &*service, slots, cold_us, "target: adopted");
+        state.admission.set_slots(slots);
+        let most = self.cold_most(&service);
+        state.admission.set_warmup(self.clock.now().after(cold_us), most);
+        state.target = Some(Target { life, service, address });
+        drop(state);
+        self.settle();
+        self.tell();
+    }
+
     /// Takes in that a target is gone or about to go.
     pub fn deregister(&self, id: Name, born: Option<u64>) {
         let mut state = self.state.borrow_mut();
@@ -270,9 +294,8 @@
     /// Takes in what an earlier life of this node acknowledged about a leaving target.
     pub fn remember(&self, life: Life) {
         let mut state = self.state.borrow_mut();
-        let is_current = state.lives.current() == Some(&life);
-        state.lives.left(life);
-        if is_current {
+        state.lives.left(life.clone());
+        if state.lives.current() == Some(&life) {
             state.closed = Some(Refusal::Leaving);
         }
     }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -18,7 +18,7 @@
 
 use crate::configuration::{self, Rules};
 use crate::entry::{self, Callers, Entry};
-use crate::guard::Guard;
+use crate::guard::{self, Guard};
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
 use crate::{logs, platform_side};
@@ -148,6 +148,8 @@
     tokio::task::spawn_local(configuration::follow(store, rules));
     tokio::task::spawn_local(peers.join(store));
     tokio::task::spawn_local(guard.clone().tick());
+    let search = guard::search(guard.clone(), settings.target, settings.service.clone());
+    tokio::task::spawn_local(search);
     tokio::task::spawn_local(platform_side::control(control, guard.clone()));
     tokio::task::spawn_local(platform_side::readiness(ready, entry.clone()));
     if let Some(port) = metrics_port {
--- a/crates/sidecar/tests/targets.rs
+++ b/crates/sidecar/tests/targets.rs
@@ -129,3 +129,19 @@
     assert!(deployment.vms[0].target.probes() > probes);
     assert_eq!(deployment.count("other"), 0);
 }
+
+#[tokio::test]
+async fn a_node_that_starts_beside_a_running_target_serves_before_its_next_heartbeat() {
+    for leaves in [false, true] {
+        let mut deployment = up().await;
+        if leaves {
+            assert_eq!(deployment.vms[0].beat("draining", 0.0).await, 200);
+            deployment.vms[0].target.set_ill();
+        }
+        deployment.vms[0].kill().await;
+        deployment.restart(0);
+        let within = Duration::from_millis(2_500);
+        let serves = eventually(within, async || runs(&deployment, "restarted").await).await;
+        assert_eq!(serves, !leaves, "the target leaves: {leaves}");
+    }
+}
--- /dev/null
+++ b/crates/world/tests/routing.rs
@@ -0,0 +1,75 @@
+//! Routes by host and prefix, and their parts.
+
+use world::{CallerLimits, Part, Repeat, RouteRule, Routing, Ruleset, set_out};
+
+fn route(host: &str, prefix: &str, parts: &[(&str, u32)]) -> RouteRule {
+    let part =
+        |(service, weight): &(&str, u32)| Part { service: (*service).into(), weight: *weight };
+    RouteRule {
+        name: format!("{host}{prefix}").into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        parts: parts.iter().map(part).collect(),
+        repeat: Repeat::Safe,
+        timeout_us: 1,
+        aim_us: 1,
+        attempts: 1,
+        priority: 0,
+    }
+}
+
+fn routing(routes: Vec<RouteRule>) -> Routing {
+    let limits = CallerLimits { head_bytes: 1, body_bytes: 1, head_us: 1, idle_us: 1 };
+    Routing::new(1, routes, Vec::new(), limits)
+}
+
+struct Case {
+    host: &'static str,
+    path: &'static str,
+    route: Option<&'static str>,
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let one = [("s", 1)];
+    let routing = routing(vec![
+        route("b.example", "/", &one),
+        route("a.example", "/x/", &one),
+        route("a.example", "/x/y/", &one),
+        route("a.example", "/xy/", &one),
+    ]);
+    let cases = [
+        Case { host: "a.example", path: "/x/1", route: Some("a.example/x/") },
+        Case { host: "A.Example:8080", path: "/x/y/1", route: Some("a.example/x/y/") },
+        Case { host: "a.example", path: "/x/y", route: Some("a.example/x/") },
+        Case { host: "a.example", path: "/xy/", route: Some("a.example/xy/") },
+        Case { host: "a.example", path: "/x", route: None },
+        Case { host: "b.example", path: "/x/1", route: Some("b.example/") },
+        Case { host: "c.example", path: "/x/1", route: None },
+        Case { host: "", path: "/", route: None },
+    ];
+    for case in cases {
+        let found = routing.route(case.host, case.path).map(|route| &*route.name);
+        assert_eq!(found, case.route, "{}{}", case.host, case.path);
+    }
+}
+
+#[test]
+fn parts_have_their_shares() {
+    let route = route("a", "/", &[("x", 90), ("y", 0), ("z", 10)]);
+    let draws = (0..1_000).map(|draw| &*route.part(f64::from(draw) / 1_000.0).service);
+    let draws: Vec<&str> = draws.collect();
+    let count = |service| draws.iter().filter(|drawn| **drawn == service).count();
+    assert_eq!([count("x"), count("y"), count("z")], [900, 0, 100]);
+}
+
+#[test]
+fn a_data_centre_is_out_until_it_is_back() {
+    let mut out = Vec::new();
+    for (data_centre, is_out) in [("b", true), ("a", true), ("b", true), ("c", false), ("b", false)]
+    {
+        set_out(&mut out, data_centre.into(), is_out);
+    }
+    let ruleset = Ruleset { revision: 1, routing: routing(Vec::new()), out };
+    assert_eq!(["a", "b", "c"].map(|name| ruleset.is_out(name)), [true, false, false]);
+}
