Doubt lasts until the next report, reports do not grow with the fleet; explain ID over nodes' logs

(2) A node reported to each of 71 peers twice a second. (3) On-call engineers had no way from an id to its cause: the guard logged nothing of a request. Change: a silent peer is doubted until it reports, as is one not heard of for 1.7 s; 15 ms for each peer between reports, 0.5 to 1 s; the guard logs what got no answer, 40 lines a second at most; bamboowheelctl explain tells one request's story; code 3007.

--- a/crates/bamboowheelctl/src/cmd/mod.rs
+++ b/crates/bamboowheelctl/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod dc;
 pub mod events;
+pub mod explain;
 pub mod history;
 pub mod show;
 pub mod status;
--- a/crates/bamboowheelctl/src/error.rs
+++ b/crates/bamboowheelctl/src/error.rs
@@ -55,6 +55,12 @@
         /// The name.
         name: String,
     },
+    /// No log line names the request.
+    #[snafu(display("{}: {id}", Code::RequestUnknown))]
+    RequestUnknown {
+        /// The request's id.
+        id: String,
+    },
     /// No inventory was ever applied.
     #[snafu(display("{}", Code::NothingApplied))]
     NothingApplied,
@@ -92,6 +98,7 @@
             Error::StoreUnknown { .. } => Code::StoreUnknown,
             Error::Store { .. } => Code::StoreUnavailable,
             Error::UnknownDataCentre { .. } => Code::UnknownDataCentre,
+            Error::RequestUnknown { .. } => Code::RequestUnknown,
             Error::NothingApplied => Code::NothingApplied,
             Error::NodeUnreachable { .. } => Code::NodeUnreachable,
         }
--- a/crates/bamboowheelctl/src/lib.rs
+++ b/crates/bamboowheelctl/src/lib.rs
@@ -8,6 +8,7 @@
 mod store;
 
 pub use change::{Accepted, change, current};
+pub use cmd::explain;
 pub use error::Error;
 
 use gumdrop::Options;
@@ -26,6 +27,7 @@
     dc          take a data centre out of service, or back in
     status      show what nodes say of themselves
     events      show what nodes decided lately
+    explain     tell the story of a request from nodes' logs
     certs       make certificates for the links between nodes
 
 bamboowheelctl COMMAND --help says more. Store options may be given as environment variables:
@@ -71,6 +73,8 @@
     Status(cmd::status::Args),
     #[options(help = "show what nodes decided lately")]
     Events(cmd::events::Args),
+    #[options(help = "tell the story of a request from nodes' logs")]
+    Explain(cmd::explain::Args),
     #[options(help = "make certificates for the links between nodes")]
     Certs(cmd::certs::Args),
 }
@@ -113,6 +117,7 @@
         Command::Dc(args) => cmd::dc::run(&context, args),
         Command::Status(args) => cmd::status::run(&context, args),
         Command::Events(args) => cmd::events::run(&context, args),
+        Command::Explain(args) => cmd::explain::run(&context, args),
         Command::Certs(args) => cmd::certs::run(&context, args),
     }
 }
--- /dev/null
+++ b/crates/bamboowheelctl/tests/explain.rs
@@ -0,0 +1,28 @@
+//! The story of one request from the logs of several nodes.
+
+use bamboowheelctl::explain::{find, show};
+use expect_test::expect;
+
+const LOG: &str = r#"
+   1.0500 vm-1 {"timestamp":"2026-12-04T10:00:00.2Z","level":"INFO","message":"entry: refused","request":"q-1","status":503,"refusal":"full"}
+{"timestamp":"2026-12-04T10:00:00.1Z","level":"INFO","message":"guard: refused","request":"q-1","waited_us":120,"refusal":"full"}
+{"timestamp":"2026-12-04T10:00:00.3Z","level":"INFO","message":"entry: answered","request":"q-2"}
+broken
+{"timestamp":
+"#;
+
+#[test]
+fn lines_of_the_request_are_found_and_unreadable_ones_counted() {
+    let story = find("vm-1.log", LOG, "q-1");
+    assert_eq!(story.unreadable, 2);
+    let shown: Vec<String> = story.lines.iter().map(show).collect();
+    expect![[r#"
+        2026-12-04T10:00:00.2Z  vm-1.log  entry: refused  refusal=full status=503
+        2026-12-04T10:00:00.1Z  vm-1.log  guard: refused  refusal=full waited_us=120"#]]
+    .assert_eq(&shown.join("\n"));
+}
+
+#[test]
+fn a_request_that_no_line_names_has_no_story() {
+    assert!(find("vm-1.log", LOG, "q-3").lines.is_empty());
+}
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -17,8 +17,9 @@
 const USE_WEIGHT: f64 = 0.5;
 /// Costs differ at random by this share, so that entries with the same knowledge spread.
 const SPREAD: f64 = 0.15;
-/// A target that did not answer in time is left alone for this time, in microseconds.
-const DOUBT_US: u64 = 500_000;
+/// A target that was not reported of for longer is doubted, in microseconds: guards report once a
+/// second at least.
+const STALE_US: u64 = 1_700_000;
 /// Weight of one result in the moving share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// A target's share of failures halves over this time without results, in microseconds.
@@ -59,7 +60,7 @@
     /// Moving share of failures, 0 to 1.
     failing: f64,
     failed_at: Time,
-    doubted: Time,
+    doubted: bool,
 }
 
 /// What is known of the request that a target is chosen for.
@@ -86,6 +87,7 @@
         self.report = report;
         self.at = now;
         self.since = 0;
+        self.doubted = false;
     }
 
     /// Notes that a request is sent.
@@ -101,14 +103,14 @@
         self.failing += (result - self.failing) * FAILURE_WEIGHT;
     }
 
-    /// Notes that nothing was heard of it in time.
-    pub fn doubt(&mut self, now: Time) {
-        self.doubted = now.after(DOUBT_US);
+    /// Notes that nothing was heard of it in time. It is doubted until its next report.
+    pub fn doubt(&mut self) {
+        self.doubted = true;
     }
 
-    /// Returns whether nothing was heard of it in time, lately.
+    /// Returns whether it may be gone.
     pub fn is_doubted(&self, now: Time) -> bool {
-        self.doubted > now
+        self.doubted || now.since(self.at) > STALE_US
     }
 
     /// Returns the moving share of failures.
--- a/crates/policy/tests/heavy_days.rs
+++ b/crates/policy/tests/heavy_days.rs
@@ -131,6 +131,13 @@
         assert!(late[0] > 300, "{late:?}");
     }
 
+    #[test]
+    fn a_target_that_nothing_is_reported_of_is_chosen_last() {
+        let views = [(view(10, 12, at(0)), true), (view(50, 0, at(1_500)), true)];
+        assert!(chosen(at(1_600), &views, 500.0)[0] > 900);
+        assert_eq!(chosen(at(1_800), &views, 500.0)[0], 0);
+    }
+
     #[test]
     fn a_guard_sends_a_request_elsewhere_while_its_vm_is_slow() {
         let mut admission = admission(8);
@@ -155,7 +162,7 @@
         let views = [(failing, true), (view(10, 6, at(0)), true)];
         assert_eq!(chosen(at(10), &views, 500.0)[0], 0);
         let mut silent = view(10, 12, at(0));
-        silent.doubt(at(0));
+        silent.doubt();
         let views = [(silent, true), (view(50, 0, at(0)), true)];
         assert_eq!(chosen(at(10), &views, 500.0)[0], 0);
     }
--- a/crates/sidecar/src/entry/attempt.rs
+++ b/crates/sidecar/src/entry/attempt.rs
@@ -92,7 +92,7 @@
         if peer.heard() > begun {
             std::future::pending::<()>().await;
         }
-        peer.view.borrow_mut().doubt(entry.clock.now());
+        peer.view.borrow_mut().doubt();
         if !safe {
             std::future::pending::<()>().await;
         }
--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -63,6 +63,46 @@
     /// Runs an attempt at the target. Dropping the future gives the attempt up: the target is told
     /// by the end of its connection.
     pub async fn run(self: &Rc<Guard>, attempt: &Attempt, body: Bytes) -> Outcome {
+        let begun = self.clock.now();
+        let outcome = self.decide(attempt, body).await;
+        self.log(attempt, &outcome, self.clock.now().since(begun));
+        outcome
+    }
+
+    /// Logs what did not end with an answer, within a budget of lines.
+    fn log(&self, attempt: &Attempt, outcome: &Outcome, took_us: u64) {
+        let now = self.clock.now();
+        let (refusal, detail) = match outcome {
+            Outcome::Answer(_) => return,
+            // Its entry asks elsewhere, and logs where that was in vain.
+            Outcome::NotRun { .. } if attempt.elsewhere => return,
+            Outcome::NotRun { refusal, .. } => (Some(*refusal), ""),
+            Outcome::Lost { detail } => (None, detail.as_str()),
+        };
+        let mut state = self.state.borrow_mut();
+        if !state.lines.take(now, 1.0) {
+            self.metrics.unlogged.inc();
+            return;
+        }
+        let admission = &state.admission;
+        tracing::info!(
+            request = attempt.id,
+            target = state.target.as_ref().map(|target| &*target.life.id),
+            refusal = refusal.map(tracing::field::display),
+            detail,
+            took_us,
+            left_us = attempt.left_us,
+            running = admission.running(),
+            waiting = admission.waiting(),
+            slots = admission.slots(),
+            slowness = admission.slowness(now),
+            work_us = admission.work_us(),
+            "guard: {}",
+            if refusal.is_some() { "refused" } else { "lost" }
+        );
+    }
+
+    async fn decide(self: &Rc<Guard>, attempt: &Attempt, body: Bytes) -> Outcome {
         let deadline = self.clock.now().after(attempt.left_us);
         let not_run = |refusal| Outcome::NotRun { refusal, reached: false };
         if let Some(refusal) = self.refuses() {
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -6,7 +6,7 @@
 
 use platform::heartbeat::Report as Heartbeat;
 use platform::settings::Cold;
-use policy::{Admission, Admitted, Offering, Refusal, Report, Time};
+use policy::{Admission, Admitted, Bucket, Offering, Refusal, Report, Time};
 use runtime::Clock;
 use tokio::sync::{Notify, oneshot, watch};
 use wire::link::{Attempt, Life, Status};
@@ -22,6 +22,9 @@
 /// counted otherwise at the target.
 const COLD_SHARE: f64 = 0.4;
 
+/// Log lines a second about requests that got no answer.
+const LINES: f64 = 40.0;
+
 /// The target that is known.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -36,7 +39,7 @@
 /// Told whether a request runs.
 type Owner = oneshot::Sender<Result<(), Refusal>>;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct State {
     pub(super) admission: Admission,
     pub(super) target: Option<Target>,
@@ -46,6 +49,22 @@
     /// Owners of requests that wait, sorted by id.
     owners: Vec<(u64, Owner)>,
     next: u64,
+    /// The budget of log lines about requests.
+    pub(super) lines: Bucket,
+}
+
+impl Default for State {
+    fn default() -> State {
+        State {
+            admission: Admission::default(),
+            target: None,
+            lives: Lives::default(),
+            closed: None,
+            owners: Vec::new(),
+            next: 0,
+            lines: Bucket::new(LINES, LINES),
+        }
+    }
 }
 
 /// The guard of the target on this VM.
--- a/crates/sidecar/src/peers/directory.rs
+++ b/crates/sidecar/src/peers/directory.rs
@@ -166,6 +166,11 @@
         }
     }
 
+    /// Returns how many there are.
+    pub(super) fn len(&self) -> u32 {
+        self.peers.borrow().len() as u32
+    }
+
     /// Takes a node out.
     pub(super) fn remove(&self, name: &str) {
         self.peers.borrow_mut().retain(|peer| !peer.is(name));
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -18,10 +18,10 @@
 use crate::peers::directory::{Directory, Link, Peer};
 use crate::peers::serve;
 
-/// A link on which nothing came for 2 s is closed: half of `contactS`, so that a peer that was cut
-/// off is found again within it. A packet every 500 ms keeps it open.
+/// A link on which nothing came for 2.5 s is closed, so that a peer that was cut off is found again
+/// within the 3 s after which the platform counts on it. Reports keep links open as a rule.
 const TIMING: Timing =
-    Timing { idle: Duration::from_millis(2_000), keep_alive: Duration::from_millis(500) };
+    Timing { idle: Duration::from_millis(2_500), keep_alive: Duration::from_millis(1_100) };
 /// The longest wait for a handshake and the peer's word on itself.
 const CONNECT: Duration = Duration::from_millis(1_000);
 /// The pause after a failed attempt to link. It doubles with each further one.
@@ -32,9 +32,13 @@
 const FORGET_US: u64 = 60_000_000;
 /// A link that is not used is closed after the longest calls on it have ended.
 const LINGER: Duration = Duration::from_secs(10);
-/// Time between two reports to every peer: answers carry reports too, and these are for peers to
-/// which none go.
+/// The least time between two reports to every peer: answers carry reports too, and these are for
+/// peers to which none go.
 const REPORT: Duration = Duration::from_millis(500);
+/// The most time between two reports.
+const REPORT_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time between two reports for each peer, so that their bytes do not grow with their number.
+const REPORT_EACH: Duration = Duration::from_millis(15);
 /// Time given to the store to tell of a revision before a peer is asked for it.
 const FETCH_DELAY: Duration = Duration::from_millis(150);
 
@@ -120,7 +124,7 @@
         }
         let (peer, new) = self.directory.find_or_add(node);
         if new {
-            self.most.set(self.most.get().max(self.directory.all().len() + 1));
+            self.most.set(self.most.get().max(self.directory.len() as usize + 1));
             tokio::task::spawn_local(self.clone().keep(peer));
         }
     }
@@ -241,7 +245,8 @@
     /// Reports to every peer from time to time.
     async fn report(self: Rc<Peers>) {
         loop {
-            tokio::time::sleep(REPORT).await;
+            let pause = REPORT_EACH * self.directory.len();
+            tokio::time::sleep(pause.clamp(REPORT, REPORT_LIMIT)).await;
             self.compare_strain();
             let status = self.guard.status();
             self.own.borrow_mut().reported(self.clock.now(), status.report);
--- a/crates/world/src/code.rs
+++ b/crates/world/src/code.rs
@@ -63,6 +63,7 @@
     UnknownDataCentre = 3004, "the inventory has no data centre of this name";
     NothingApplied = 3005, "no inventory was ever applied";
     NodeUnreachable = 3006, "the node does not answer";
+    RequestUnknown = 3007, "no log line names the request";
     Usage = 4001, "the command line is wrong";
     BadSetting = 4002, "a setting is missing or wrong";
     CannotBind = 4003, "an address cannot be bound";
