A node whose address another node has is not looked for any more

Ruled out: clock steps (starts in the hellos are in order), lost links (319). Change: a link that another node answers buries the old name, also where others still tell of it; links are counted (bamboowheel_links_total).

--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -31,6 +31,8 @@
     pub connections: Counter,
     /// Attempts beyond the first of a request.
     pub repeats: Counter,
+    /// Links to other nodes that were opened, from either end.
+    pub links: Counter,
     /// Log lines left out.
     pub unlogged: Counter,
 }
@@ -51,6 +53,7 @@
             probes: counter("target_probes", "Health checks of the target"),
             connections: counter("target_connections", "Connections opened to the target"),
             repeats: counter("repeats", "Attempts beyond the first of a request"),
+            links: counter("links", "Links to other nodes that were opened"),
             unlogged: counter("log_lines_dropped", "Log lines left out"),
             registry,
         }
--- a/crates/sidecar/src/peers/directory.rs
+++ b/crates/sidecar/src/peers/directory.rs
@@ -141,10 +141,15 @@
     }
 }
 
+/// Nodes that are remembered as gone: what an ordinary day replaces.
+const GONE: usize = 128;
+
 /// The other nodes, sorted by name.
 #[derive(Debug, Default)]
 pub(super) struct Directory {
     peers: RefCell<Vec<Rc<Peer>>>,
+    /// Nodes whose address another node has by now, with their start. Others still tell of them.
+    gone: RefCell<Vec<(Name, u64)>>,
 }
 
 impl Directory {
@@ -153,6 +158,23 @@
         self.peers.borrow().clone()
     }
 
+    /// Returns whether another node is known to have this node's address.
+    pub(super) fn is_gone(&self, node: &Node) -> bool {
+        let gone = self.gone.borrow();
+        gone.iter().any(|(name, started)| *name == node.name && *started >= node.started)
+    }
+
+    /// Takes out a node whose address another node has.
+    pub(super) fn bury(&self, node: &Node) {
+        self.remove(&node.name);
+        let mut gone = self.gone.borrow_mut();
+        gone.retain(|(name, _)| *name != node.name);
+        if gone.len() >= GONE {
+            gone.remove(0);
+        }
+        gone.push((node.name.clone(), node.started));
+    }
+
     /// Returns a node, and whether it is new.
     pub(super) fn find_or_add(&self, node: &Node) -> (Rc<Peer>, bool) {
         let mut peers = self.peers.borrow_mut();
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -15,6 +15,7 @@
 
 use crate::configuration::Rules;
 use crate::guard::Guard;
+use crate::metrics::Metrics;
 use crate::peers::directory::{Directory, Link, Peer};
 use crate::peers::serve;
 
@@ -61,6 +62,7 @@
     pub(super) directory: Directory,
     pub(super) guard: Rc<Guard>,
     pub(super) rules: Rc<Rules>,
+    metrics: Rc<Metrics>,
     /// What is known of the node's own target, as for those of others.
     pub own: std::cell::RefCell<View>,
     /// The most nodes that were known at once.
@@ -76,6 +78,7 @@
         clock: Clock,
         rules: Rc<Rules>,
         guard: Rc<Guard>,
+        metrics: Rc<Metrics>,
     ) -> std::io::Result<Rc<Peers>> {
         // No file holds a certificate on these VMs, and a node that starts while the store is away
         // must still be let in by its peers; see docs/DESIGN.md.
@@ -92,6 +95,7 @@
             directory: Directory::default(),
             guard,
             rules,
+            metrics,
             own: std::cell::RefCell::default(),
             most: std::cell::Cell::new(1),
             fetching: std::cell::Cell::new(false),
@@ -119,7 +123,7 @@
 
     /// Learns of a node, and keeps a link to it from then on.
     pub fn learn(self: &Rc<Peers>, node: &Node) {
-        if node.name == self.me.name {
+        if node.name == self.me.name || self.directory.is_gone(node) {
             return;
         }
         let (peer, new) = self.directory.find_or_add(node);
@@ -146,7 +150,12 @@
                 continue;
             }
             match tokio::time::timeout(CONNECT, self.connect(&peer)).await {
-                Ok(Ok(())) => pause = PAUSE,
+                Ok(Ok(name)) if name == peer.node().name => pause = PAUSE,
+                Ok(Ok(name)) => {
+                    let gone = peer.node();
+                    tracing::info!(peer = &*gone.name, by = &*name, "peers: address taken");
+                    return self.directory.bury(&gone);
+                }
                 Ok(Err(error)) => tracing::debug!(%error, "peers: no link"),
                 Err(_) => tracing::debug!("peers: no link in time"),
             }
@@ -165,7 +174,8 @@
         let _ = tokio::time::timeout(pause, peer.changed.notified()).await;
     }
 
-    async fn connect(self: &Rc<Peers>, peer: &Rc<Peer>) -> Result<(), String> {
+    /// Links to a peer's address. Returns the name of the node that answered.
+    async fn connect(self: &Rc<Peers>, peer: &Rc<Peer>) -> Result<Name, String> {
         let address = peer.node().address;
         let connecting = self.endpoint.connect_with(self.client.clone(), address, SERVER_NAME);
         let link = connecting.map_err(|error| error.to_string())?;
@@ -176,9 +186,9 @@
         let _ = send.finish();
         let hello: Hello = wire::read(&mut receive).await.map_err(|error| error.to_string())?;
         let by_first = self.me.name < hello.node.name;
-        self.greeted(&hello, Link { connection: link.clone(), by_first });
-        serve::spawn(self, peer.clone(), link);
-        Ok(())
+        let answered = self.greeted(&hello, Link { connection: link.clone(), by_first });
+        serve::spawn(self, answered, link);
+        Ok(hello.node.name)
     }
 
     /// Returns what this node says of itself to a peer.
@@ -207,6 +217,7 @@
             self.guard.remember(life.clone());
         }
         hello.known.iter().for_each(|node| self.learn(node));
+        self.metrics.links.inc();
         tracing::info!(
             peer = &*hello.node.name,
             service = hello.status.service.as_deref(),
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -134,7 +134,7 @@
     let link = SocketAddr::new(settings.ip, settings.ports.0);
     let node = Node { name: settings.name.clone(), data_centre, address: link, started: wall_ms() };
     let peer_settings = peers::Settings { node, bind: link };
-    let peers = Peers::spawn(peer_settings, clock, rules.clone(), guard.clone())?;
+    let peers = Peers::spawn(peer_settings, clock, rules.clone(), guard.clone(), metrics.clone())?;
     let entry = Entry::open(
         clock,
         rules.clone(),
