A target that deregisters at a node that does not know it gets nothing

Ruled out: clock steps, peers' word (the guard itself sent). Change: an id that deregistered without telling its start is over for every life that began before that moment, by the time of day. Test: failed first, passes now.

--- a/crates/sidecar/src/guard/lives.rs
+++ b/crates/sidecar/src/guard/lives.rs
@@ -27,6 +27,9 @@
     current: Option<(Life, u64)>,
     /// Lives that left. Nothing is sent to them again.
     over: Vec<Life>,
+    /// Ids whose life left without telling its start, with the time of day at which it did, in
+    /// milliseconds since 1970: every life of the id that started before is over.
+    over_before: Vec<(Name, u64)>,
 }
 
 impl Lives {
@@ -58,11 +61,11 @@
     /// Takes an instance that answered a health check for the current life, where none is known.
     /// Returns it where it did not leave before.
     pub fn found(&mut self, id: &Name) -> Option<Life> {
-        let left = self.over.iter().any(|life| life.id == *id);
+        let life = Life { id: id.clone(), born: UNKNOWN };
+        let left = self.over.iter().any(|life| life.id == *id) || self.is_over(&life);
         if self.current.is_some() || left {
             return None;
         }
-        let life = Life { id: id.clone(), born: UNKNOWN };
         self.current = Some((life.clone(), 0));
         Some(life)
     }
@@ -83,14 +86,24 @@
         if self.is_over(&life) {
             return;
         }
-        if self.over.len() >= REMEMBERED {
-            self.over.remove(0);
-        }
-        self.over.push(life);
+        push(&mut self.over, life);
+    }
+
+    /// Notes that the life of an id left that does not tell its start, at a time of day.
+    pub fn left_unknown(&mut self, id: Name, now_ms: u64) {
+        push(&mut self.over_before, (id, now_ms));
     }
 
     /// Returns whether a life left.
     pub fn is_over(&self, life: &Life) -> bool {
-        self.over.contains(life)
+        let is_before = |(id, at): &(Name, u64)| *id == life.id && life.born <= *at;
+        self.over.contains(life) || self.over_before.iter().any(is_before)
+    }
+}
+
+fn push<T>(list: &mut Vec<T>, item: T) {
+    if list.len() >= REMEMBERED {
+        list.remove(0);
     }
+    list.push(item);
 }
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -7,7 +7,7 @@
 use platform::heartbeat::Report as Heartbeat;
 use platform::settings::Cold;
 use policy::{Admission, Admitted, Bucket, Offering, Refusal, Report, Time};
-use runtime::Clock;
+use runtime::{Clock, wall_ms};
 use tokio::sync::{Notify, oneshot, watch};
 use wire::link::{Attempt, Life, Status};
 use world::Name;
@@ -289,19 +289,18 @@
     pub fn deregister(&self, id: Name, born: Option<u64>) {
         let mut state = self.state.borrow_mut();
         let current = state.lives.current().filter(|life| life.id == id).cloned();
-        let life = match (current, born) {
-            (Some(life), None) => Some(life),
-            (Some(life), Some(born)) if life.born == born => Some(life),
-            (_, Some(born)) => {
-                state.lives.left(Life { id: id.clone(), born });
-                None
-            }
-            (None, None) => None,
+        let life = match born {
+            Some(born) => Life { id: id.clone(), born },
+            None => current.clone().unwrap_or(Life { id: id.clone(), born: 0 }),
         };
-        let Some(life) = life else {
-            tracing::info!(id = &*id, "target: a life that is not known deregistered");
+        if life.born == 0 {
+            state.lives.left_unknown(id.clone(), wall_ms());
+        }
+        if current.as_ref() != Some(&life) {
+            tracing::info!(id = &*id, born, "target: a life that is not known deregistered");
+            state.lives.left(life);
             return;
-        };
+        }
         tracing::info!(id = &*id, "target: deregistered");
         state.lives.left(life);
         state.closed = Some(Refusal::Leaving);
--- a/crates/sidecar/tests/targets.rs
+++ b/crates/sidecar/tests/targets.rs
@@ -145,3 +145,24 @@
         assert_eq!(serves, !leaves, "the target leaves: {leaves}");
     }
 }
+
+#[tokio::test]
+async fn a_target_that_deregisters_at_a_node_that_does_not_know_it_gets_nothing() {
+    let mut deployment = up().await;
+    deployment.vms[0].target.set_ill();
+    deployment.vms[0].kill().await;
+    deployment.restart(0);
+    let ready = eventually(Duration::from_secs(5), async || deployment.vms[0].is_ready().await);
+    assert!(ready.await);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(deployment.vms[0].deregister().await, 200);
+    assert_eq!(deployment.vms[0].beat("ready", 0.0).await, 200);
+    let told = Duration::from_millis(500);
+    assert!(!eventually(told, async || runs(&deployment, "late word").await).await);
+    // A start after that, under the same id, serves.
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    let born = since.as_millis() as u64 + 1_000;
+    assert_eq!(deployment.vms[0].beat_as("i-vm-0", born, 1, "ready", 0.0).await, 200);
+    let within = Duration::from_secs(2);
+    assert!(eventually(within, async || runs(&deployment, "reborn").await).await);
+}
