--- a/crates/sidecar/tests/targets.rs
+++ b/crates/sidecar/tests/targets.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use standin::caller::Ask;
-use standin::deployment::{Deployment, eventually};
+use standin::deployment::{Deployment, UNREADABLE, eventually};
 
 const NODE: &str = env!("CARGO_BIN_EXE_bamboowheel-sidecar");
 
@@ -74,16 +74,7 @@
 async fn what_cannot_be_read_names_no_target_and_harms_none() {
     let deployment = up().await;
     let path = "/api/rpc?call=instances.heartbeat&of=i-vm-0";
-    let bodies = [
-        "",
-        "{",
-        "[]",
-        "{\"service\":7}",
-        "{\"service\":\"a\",\"address\":\"nowhere\",\"slots\":8,\"state\":\"ready\",\"warmupLeftS\":0,\"sequence\":9}",
-        "{\"service\":\"a\",\"address\":\"127.0.0.1:1\",\"slots\":8,\"state\":\"odd\",\"warmupLeftS\":0,\"sequence\":9}",
-        "{\"service\":\"a\",\"address\":\"127.0.0.1:1\",\"slots\":0,\"state\":\"ready\",\"warmupLeftS\":0,\"sequence\":9}",
-    ];
-    for body in bodies {
+    for body in UNREADABLE {
         assert_eq!(deployment.vms[0].call(path, body).await, 400, "{body}");
     }
     assert!(runs(&deployment, "after").await);
