Greetings without the list of nodes, 128 streams a link

Cause: every hello carried every known node, so that opening all links of the fleet moved its square times its size across data centres; and quinn keeps a slot for each stream that a peer may open, 1,024 on every link. Change: a node that the store has not told of the others asks a peer for them; the rest sends none. Test: a greeting's size (did not compile before; the list was part of it).

--- a/crates/sidecar/src/peers/exchange.rs
+++ b/crates/sidecar/src/peers/exchange.rs
@@ -115,7 +115,7 @@
                     (Outcome::NotRun { refusal, reached }, report)
                 }
                 Reply::Lost { detail, report } => (Outcome::Lost { detail }, report),
-                Reply::Noted | Reply::Ruleset(_) => {
+                Reply::Noted | Reply::Ruleset(_) | Reply::Nodes(_) => {
                     return self.lost("a reply of another kind".to_owned());
                 }
             };
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -69,6 +69,8 @@
     most: std::cell::Cell<usize>,
     /// A ruleset is being asked for.
     fetching: std::cell::Cell<bool>,
+    /// Whether the other nodes are known, from the store or from a peer.
+    joined: std::cell::Cell<bool>,
 }
 
 impl Peers {
@@ -99,6 +101,7 @@
             own: std::cell::RefCell::default(),
             most: std::cell::Cell::new(1),
             fetching: std::cell::Cell::new(false),
+            joined: std::cell::Cell::new(false),
         });
         tokio::task::spawn_local(serve::accept(peers.clone(), peers.endpoint.clone()));
         tokio::task::spawn_local(peers.clone().report());
@@ -193,11 +196,9 @@
 
     /// Returns what this node says of itself to a peer.
     pub(super) fn hello(&self, peer: Option<&Peer>) -> Hello {
-        let known = self.directory.all().iter().map(|peer| peer.node()).collect();
         Hello {
             node: self.me.clone(),
             status: self.guard.status(),
-            known,
             leaving: peer.and_then(Peer::leaving),
         }
     }
@@ -216,7 +217,6 @@
         if let Some(life) = &hello.leaving {
             self.guard.remember(life.clone());
         }
-        hello.known.iter().for_each(|node| self.learn(node));
         self.metrics.links.inc();
         tracing::info!(
             peer = &*hello.node.name,
@@ -225,9 +225,35 @@
             "peers: linked"
         );
         self.compare(&peer);
+        self.introduce(&peer);
         peer
     }
 
+    /// Asks a peer for the other nodes while the store has not told of them.
+    fn introduce(self: &Rc<Peers>, peer: &Rc<Peer>) {
+        if self.joined.get() {
+            return;
+        }
+        let (peers, peer) = (self.clone(), peer.clone());
+        tokio::task::spawn_local(async move {
+            match peers.ask(&peer, &Frame::FetchNodes).await {
+                Ok(Reply::Nodes(nodes)) => nodes.iter().for_each(|node| peers.learn(node)),
+                Ok(_) => tracing::warn!("peers: a list of nodes makes no sense"),
+                Err(error) => tracing::debug!(%error, "peers: no list of nodes"),
+            }
+        });
+    }
+
+    /// Returns the nodes that are known, for a peer that asks.
+    pub(super) fn nodes(&self) -> Vec<Node> {
+        self.directory.all().iter().map(|peer| peer.node()).collect()
+    }
+
+    /// Notes that the store told of the other nodes.
+    pub(super) fn set_joined(&self) {
+        self.joined.set(true);
+    }
+
     /// Takes in what a peer said of itself.
     pub(super) fn said(self: &Rc<Peers>, peer: &Rc<Peer>, status: &wire::link::Status) {
         peer.say(self.clock.now(), status);
--- a/crates/sidecar/src/peers/registry.rs
+++ b/crates/sidecar/src/peers/registry.rs
@@ -43,6 +43,7 @@
             *registered = true;
         }
         let rows = store.read(TABLE).await?;
+        self.set_joined();
         tracing::info!(nodes = rows.rows.len(), revision = rows.version, "registry: joined");
         for row in &rows.rows {
             match serde_json::from_slice::<Node>(&row.value) {
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -84,6 +84,7 @@
             let rules = peers.rules.current();
             Reply::Ruleset(rules.map(|rules| Box::new((*rules).clone())))
         }
+        Frame::FetchNodes => Reply::Nodes(peers.nodes()),
         Frame::Hello(_) => return,
     };
     if let Err(error) = wire::write(&mut send, &reply).await {
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -54,8 +54,6 @@
     pub node: Node,
     /// Its state.
     pub status: Status,
-    /// The nodes it knows.
-    pub known: Vec<Node>,
     /// What the sender heard last from the receiver's earlier life about a leaving target.
     pub leaving: Option<Life>,
 }
@@ -100,6 +98,8 @@
     Status(Box<Status>),
     /// Asks for the ruleset. Answered by [`Reply::Ruleset`].
     Fetch,
+    /// Asks for the nodes that are known. Answered by [`Reply::Nodes`].
+    FetchNodes,
 }
 
 /// A datagram.
@@ -147,4 +147,6 @@
     Noted,
     /// The ruleset, where there is one.
     Ruleset(Option<Box<Ruleset>>),
+    /// The nodes that are known.
+    Nodes(Vec<Node>),
 }
--- a/crates/wire/src/tls.rs
+++ b/crates/wire/src/tls.rs
@@ -17,8 +17,9 @@
 pub const SERVER_NAME: &str = "bamboowheel";
 /// What links speak; another program's handshake is refused.
 const PROTOCOL: &[u8] = b"bamboowheel/1";
-/// Streams that a peer may have open at once.
-const STREAMS: u32 = 1_024;
+/// Streams that a peer may have open at once. Each takes some 70 bytes of every link, open or not; an
+/// entry has a few dozen attempts at one guard at most.
+const STREAMS: u32 = 128;
 /// Bytes of one stream that a peer may send ahead.
 const STREAM_WINDOW: u32 = 256 * 1024;
 /// Bytes of one link that a peer may send ahead.
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -1,7 +1,8 @@
 //! Frames between nodes, whole and broken.
 
-use policy::{Fingerprint, Load, Phase};
+use policy::{Fingerprint, Load, Phase, Report};
 use proptest::prelude::*;
+use wire::link::{Frame, Hello, Node, Status};
 use wire::{Call, Error, Open, Reply, Verdict, decode, encode};
 use world::{Class, Code};
 
@@ -84,3 +85,24 @@
         let _ = decode::<Open>(&frame);
     }
 }
+
+#[test]
+fn a_greeting_does_not_grow_with_the_number_of_nodes() {
+    // Every link begins with two of them, and every node that starts opens all its links.
+    let hello = Frame::Hello(Box::new(Hello {
+        node: Node {
+            name: "sidecar-jm-south-a-1".into(),
+            data_centre: "jm-south-a".into(),
+            address: "10.1.0.41:7600".parse().unwrap(),
+            started: 1_796_000_000_000,
+        },
+        status: Status {
+            service: Some("listings".into()),
+            report: Report::default(),
+            leaving: None,
+            revision: 1_000,
+        },
+        leaving: None,
+    }));
+    assert!(wire::encode(&hello).unwrap().len() < 128);
+}
