Long work starts only on a VM that is seen not to be slow

Cause: how long work takes is settled when it starts. Guards knew how slow their VM was only from answers, and started work all the same where that was older than a spell or no other target was named; the second attempt came after 1.3 times the mean work, later than it could help, since the mean holds the slow answers. Ruled out: queues (no refusals, a few requests at a time), the inner calls (their answers were quick), links. Change: before long work starts, a guard whose knowledge is over 25 ms old looks, by a health check on a kept connection; a slow VM's work is sent on, or waits for the spell's end where no other target takes it; a VM that stays slow for 600 ms is given work; a look that tells nothing holds up nothing for a second. Expected work is a running median. Reports tell an unknown slowness from a usual one. A check that was wrong: a guard was to run what may go elsewhere 200 ms after it saw a slow VM; it now looks first, and the test checks both outcomes of the look. Tests: heavy_days::noisy_neighbours (five new), targets.rs (long work goes to a VM that is not slow). 'A data centre that is out ... until it is back' failed while an unknown VM counted as twice as slow: it was never chosen again; it counts as 1.1 now.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -8,7 +8,19 @@
 /// Knowledge of how slow the target's VM is lasts this long, in microseconds: neighbours keep a VM
 /// busy for about a tenth of a second at a time.
 const SLOWNESS_US: u64 = 100_000;
-/// A VM this many times slower than usual is left where another target has room.
+/// Long work starts only where how slow the VM is was seen within this time, in microseconds: in a
+/// sixth of a neighbour's spell few VMs change.
+const FRESH_US: u64 = 25_000;
+/// Work that is expected to take less than this starts without a look, in microseconds: what it
+/// may lose on a slow VM is less than a neighbour's spell.
+const LONG_US: u64 = 40_000;
+/// A VM that was slow for longer stays so, in microseconds: four times a neighbour's spell. Work is
+/// not held back there.
+const HOLD_US: u64 = 600_000;
+/// After a look that told nothing work starts without one for this long, in microseconds.
+const BLIND_US: u64 = 1_000_000;
+/// A VM this many times slower than usual is left where another target has room, and long work
+/// waits for it to be quiet: how long work takes is settled when it starts.
 const SLOW: f64 = 2.0;
 /// A VM less than this many times slower than usual has quiet neighbours.
 const QUIET: f64 = 1.5;
@@ -124,6 +136,12 @@
     sent: RateWindow,
     slowness: f64,
     slowness_at: Time,
+    /// Since when every look found the VM slow.
+    slow_since: Option<Time>,
+    /// Whether the target ever told how slow its VM is.
+    tells: bool,
+    /// Until when work starts without a look.
+    blind_until: Time,
     /// Moving mean of the time that work takes on a VM that is not slow, in microseconds.
     work_us: f64,
 }
@@ -139,6 +157,9 @@
             sent: RateWindow::default(),
             slowness: 1.0,
             slowness_at: Time::default(),
+            slow_since: None,
+            tells: false,
+            blind_until: Time::default(),
             work_us: WORK_US,
         }
     }
@@ -159,6 +180,22 @@
     pub fn set_slowness(&mut self, now: Time, slowness: f64) {
         self.slowness = slowness;
         self.slowness_at = now;
+        self.tells = true;
+        self.slow_since = match slowness >= SLOW {
+            true => self.slow_since.or(Some(now)),
+            false => None,
+        };
+    }
+
+    /// Notes that a look told nothing of how slow the target's VM is.
+    pub fn set_blind(&mut self, now: Time) {
+        self.blind_until = now.after(BLIND_US);
+    }
+
+    /// Returns whether something could start now if it were seen that the VM is not slow.
+    pub fn wants_look(&mut self, now: Time) -> bool {
+        let waits = self.waiting.iter().any(|waiting| !self.may_start(now, &waiting.offering));
+        waits && !self.is_fresh(now) && self.has_room(now)
     }
 
     /// Returns how many times longer work takes when the target is nearly full, once that is known.
@@ -178,14 +215,20 @@
         }
         let is_cold = self.is_cold(now);
         let has_room = self.has_room(now);
-        if offering.elsewhere && has_room && self.slowness(now) >= SLOW {
+        if offering.elsewhere && has_room && self.is_slow(now) {
             return Admitted::Refuse(Refusal::Slow);
         }
-        if has_room && self.waiting.is_empty() {
+        let others = self.waiting.iter().any(|waiting| !waiting.offering.elsewhere);
+        if has_room && !others && self.may_start(now, &offering) {
             self.begin(now, &offering);
             return Admitted::Run;
         }
         if offering.elsewhere {
+            let looks = has_room && !others && self.waiting.len() < self.slots as usize;
+            if looks && !self.is_fresh(now) {
+                self.waiting.push(Waiting { offering, arrived: now, until: offering.deadline });
+                return Admitted::Wait;
+            }
             return Admitted::Refuse(if is_cold { Refusal::Cold } else { Refusal::Busy });
         }
         let until = now.after((offering.deadline.since(now) as f64 * PATIENCE) as u64);
@@ -211,15 +254,29 @@
             stays
         });
         while self.has_room(now) {
-            let ranks = self.waiting.iter().map(|waiting| self.rank(now, &waiting.offering));
-            let Some((at, _)) = ranks.enumerate().min_by_key(|(_, rank)| *rank) else { break };
+            let waiting = self.waiting.iter().enumerate();
+            let ready = waiting.filter(|(_, waiting)| self.may_start(now, &waiting.offering));
+            let ranks = ready.map(|(at, waiting)| (self.rank(now, &waiting.offering), at));
+            let Some((_, at)) = ranks.min() else { break };
             let waiting = self.waiting.remove(at);
             self.begin(now, &waiting.offering);
             decided.push((waiting.offering.id, Admitted::Run));
         }
+        decided.extend(self.send_on(now));
         decided
     }
 
+    /// Refuses what waited for a look only, and what others may take, once the look is done.
+    fn send_on(&mut self, now: Time) -> Vec<(u64, Admitted)> {
+        let has_room = self.has_room(now);
+        if has_room && !self.is_fresh(now) {
+            return Vec::new();
+        }
+        let refusal = if has_room { Refusal::Slow } else { Refusal::Busy };
+        let sent_on = self.waiting.extract_if(.., |waiting| waiting.offering.elsewhere);
+        sent_on.map(|waiting| (waiting.offering.id, Admitted::Refuse(refusal))).collect()
+    }
+
     /// Refuses everything that waits.
     pub fn clear(&mut self, refusal: Refusal) -> Vec<(u64, Admitted)> {
         let all = self.waiting.drain(..);
@@ -248,9 +305,15 @@
     }
 
     /// Returns when something may be due without any event; `Time::NEVER` where nothing waits.
-    pub fn due(&self, now: Time) -> Time {
+    pub fn due(&mut self, now: Time) -> Time {
         let earliest = self.waiting.iter().map(|waiting| waiting.until).min();
-        let earliest = earliest.unwrap_or(Time::NEVER);
+        let mut earliest = earliest.unwrap_or(Time::NEVER);
+        let held = self.waiting.iter().any(|waiting| !self.may_start(now, &waiting.offering));
+        if held && self.has_room(now) {
+            // The next look. Where it is due, it is under way.
+            let look = self.slowness_at.after(FRESH_US);
+            earliest = earliest.min(if look > now { look } else { now.after(FRESH_US) });
+        }
         match self.waiting.is_empty() || !self.is_cold(now) {
             true => earliest,
             false => earliest.min(self.sent.next_room(now).max(now.after(1_000))),
@@ -293,6 +356,12 @@
         }
     }
 
+    /// Returns how slow the VM is, 1 being as usual, while that is known.
+    pub fn known_slowness(&self, now: Time) -> Option<f64> {
+        let known = self.tells && now.since(self.slowness_at) < SLOWNESS_US;
+        known.then_some(self.slowness)
+    }
+
     /// Returns the time that work takes on a VM that is not slow, in microseconds.
     pub fn work_us(&self) -> u64 {
         self.work_us as u64
@@ -326,6 +395,23 @@
         bears && self.running() < self.knee.slots(self.slots)
     }
 
+    fn is_slow(&self, now: Time) -> bool {
+        self.slowness(now) >= SLOW
+    }
+
+    fn is_fresh(&self, now: Time) -> bool {
+        now.since(self.slowness_at) < FRESH_US || now < self.blind_until
+    }
+
+    /// Whether work may start as far as the VM's neighbours go. A cold target is not looked at: it
+    /// bears few requests, and health checks may count.
+    fn may_start(&self, now: Time, offering: &Offering) -> bool {
+        let lasts = self.slow_since.is_some_and(|since| now.since(since) >= HOLD_US);
+        let is_short = offering.work_us < LONG_US;
+        let matters = self.tells && !is_short && !lasts && !self.is_cold(now);
+        !matters || now < self.blind_until || self.is_fresh(now) && !self.is_slow(now)
+    }
+
     fn rank(&self, now: Time, offering: &Offering) -> Rank {
         let done = now.after((offering.work_us as f64 * self.slowness(now)) as u64);
         (done > offering.aim, offering.priority, offering.aim)
@@ -335,7 +421,7 @@
     fn wait_us(&self, now: Time, ahead: usize) -> u64 {
         let place = ahead as f64 + 1.0;
         let slots = f64::from(self.knee.slots(self.slots).max(1));
-        let by_slots = self.work_us * self.slowness(now) * place / slots;
+        let by_slots = self.work_us * place / slots;
         match self.warmup.filter(|warmup| warmup.until > now) {
             None => by_slots as u64,
             Some(warmup) => by_slots.max(1e6 * place / f64::from(warmup.most.max(1))) as u64,
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -11,6 +11,10 @@
 /// Knowledge of free slots loses its weight over this time, in microseconds: about the length of a
 /// call, after which other calls run.
 const FREE_US: f64 = 300_000.0;
+/// How slow a VM is taken to be that nothing is known of, 1 being as usual. Its guard looks before it
+/// starts work and refuses where the VM is slow, so that a wrong guess costs a round trip; and a target
+/// that is never chosen would never be known.
+const UNKNOWN_SLOWNESS: f64 = 1.1;
 /// A target that is not known to be free is taken to be half full.
 const UNKNOWN_USE: f64 = 0.5;
 /// What use adds to the expected time of a target that has a free slot, at full use.
@@ -41,7 +45,7 @@
     pub free: i16,
     /// Slots.
     pub slots: u16,
-    /// How slow the VM is, in tenths, 10 being as usual.
+    /// How slow the VM is, in tenths, 10 being as usual; 0 where that is not known.
     pub slowness: u8,
     /// How many times longer work takes when the target is nearly full, in hundredths; 0 where that
     /// is not known.
@@ -122,8 +126,13 @@
     /// Returns the expected time to an answer, in microseconds, dearer where it fails or is far.
     pub fn cost(&self, now: Time, near: bool, weight: &Weight) -> f64 {
         let age_us = now.since(self.at) as f64;
-        let slowness = f64::from(self.report.slowness.max(10)) / 10.0;
-        let slowness = 1.0 + (slowness - 1.0) * (-age_us / SLOWNESS_US).exp();
+        let slowness = match self.report.slowness {
+            0 => UNKNOWN_SLOWNESS,
+            tenths => {
+                let told = f64::from(tenths.max(10)) / 10.0;
+                UNKNOWN_SLOWNESS + (told - UNKNOWN_SLOWNESS) * (-age_us / SLOWNESS_US).exp()
+            }
+        };
         let fresh = (-age_us / FREE_US).exp();
         let slots = f64::from(self.report.slots.max(1));
         let reported = 1.0 - f64::from(self.report.free) / slots;
--- a/crates/policy/src/knee.rs
+++ b/crates/policy/src/knee.rs
@@ -6,6 +6,8 @@
 //! neighbours are quiet. One target's answers say little in a few seconds, so that what the guards
 //! of a service found is averaged.
 
+use crate::Median;
+
 /// Up to this share of its slots a target is not nearly full.
 const LOW_USE: f64 = 0.65;
 /// Beyond this share of its slots a target may slow down.
@@ -14,9 +16,9 @@
 const RATIO: f64 = 1.25;
 /// Answers from which a median is trusted.
 const ANSWERS: u32 = 30;
-/// How much one answer moves a median, as a share of the expected time.
+/// How much one answer moves a median, as a share of it.
 const STEP: f64 = 0.03;
-/// A median starts here, and a time beyond three times the expected one counts as that.
+/// Where a median starts: at the expected time.
 const START: f64 = 1.0;
 /// How full a target was when a request started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,29 +31,8 @@
     Unclear,
 }
 
-/// A running median.
-#[derive(Clone, Copy, Debug)]
-struct Median {
-    value: f64,
-    answers: u32,
-}
-
-impl Default for Median {
-    fn default() -> Median {
-        Median { value: START, answers: 0 }
-    }
-}
-
-impl Median {
-    fn add(&mut self, value: f64) {
-        self.answers += 1;
-        self.value += if value > self.value { STEP } else { -STEP };
-        self.value = self.value.max(STEP);
-    }
-}
-
 /// What is known of one target's knee.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Knee {
     low: Median,
     high: Median,
@@ -59,6 +40,13 @@
     service: Option<f64>,
 }
 
+impl Default for Knee {
+    fn default() -> Knee {
+        let median = Median::new(START, STEP);
+        Knee { low: median, high: median, service: None }
+    }
+}
+
 impl Knee {
     /// Returns how full a target is that runs `running` requests, one that starts now among them.
     pub fn usage(running: u32, slots: u32) -> Use {
@@ -81,8 +69,8 @@
 
     /// Returns how many times longer work takes when the target is nearly full, once that is known.
     pub fn strain(&self) -> Option<f64> {
-        let known = self.low.answers >= ANSWERS && self.high.answers >= ANSWERS;
-        known.then(|| self.high.value / self.low.value)
+        let known = self.low.count() >= ANSWERS && self.high.count() >= ANSWERS;
+        known.then(|| self.high.value() / self.low.value())
     }
 
     /// Takes in the average over the service's targets.
--- a/crates/policy/tests/heavy_days.rs
+++ b/crates/policy/tests/heavy_days.rs
@@ -144,8 +144,74 @@
         admission.set_slowness(at(0), 5.0);
         let elsewhere = Offering { elsewhere: true, ..offering(1, 300, 1_000) };
         assert_eq!(admission.offer(at(10), elsewhere), Admitted::Refuse(Refusal::Slow));
-        assert_eq!(admission.offer(at(10), offering(2, 300, 1_000)), Admitted::Run);
-        assert_eq!(admission.offer(at(200), elsewhere), Admitted::Run);
+        // After a neighbour's spell its word is worth nothing: the guard looks again.
+        assert_eq!(admission.offer(at(200), elsewhere), Admitted::Wait);
+        assert!(admission.wants_look(at(200)));
+        admission.set_slowness(at(202), 1.0);
+        assert_eq!(admission.next(at(202)), [(1, Admitted::Run)]);
+        admission.done(at(300), 1, Some(98 * MS));
+        assert_eq!(admission.offer(at(340), elsewhere), Admitted::Wait);
+        admission.set_slowness(at(342), 5.0);
+        assert_eq!(admission.next(at(342)), [(1, Admitted::Refuse(Refusal::Slow))]);
+    }
+
+    #[test]
+    fn work_that_no_other_target_takes_waits_until_the_vm_is_quiet() {
+        let mut admission = admission(8);
+        admission.set_slowness(at(0), 5.0);
+        assert_eq!(admission.offer(at(10), offering(1, 300, 2_000)), Admitted::Wait);
+        assert!(!admission.wants_look(at(10)), "it was seen 10 ms ago");
+        assert_eq!(admission.due(at(10)), at(25));
+        for look_ms in [25, 50, 75] {
+            assert!(admission.wants_look(at(look_ms)));
+            admission.set_slowness(at(look_ms), 5.0);
+            assert_eq!(admission.next(at(look_ms)), []);
+        }
+        admission.set_slowness(at(101), 1.0);
+        assert_eq!(admission.next(at(101)), [(1, Admitted::Run)]);
+    }
+
+    #[test]
+    fn a_vm_that_stays_slow_is_given_work_all_the_same() {
+        let mut admission = admission(8);
+        for look_ms in (0..=600).step_by(25) {
+            admission.set_slowness(at(look_ms), 5.0);
+        }
+        assert_eq!(admission.offer(at(610), offering(1, 300, 2_000)), Admitted::Run);
+        let elsewhere = Offering { elsewhere: true, ..offering(2, 300, 2_000) };
+        assert_eq!(admission.offer(at(610), elsewhere), Admitted::Refuse(Refusal::Slow));
+    }
+
+    #[test]
+    fn short_work_and_cold_targets_are_not_looked_at() {
+        let mut admission = admission(8);
+        admission.set_slowness(at(0), 1.0);
+        let short = Offering { work_us: 20 * MS, ..offering(1, 300, 2_000) };
+        assert_eq!(admission.offer(at(500), short), Admitted::Run);
+        admission.set_warmup(at(3_000), 20);
+        assert_eq!(admission.offer(at(500), offering(2, 300, 2_000)), Admitted::Run);
+    }
+
+    #[test]
+    fn a_look_that_tells_nothing_holds_nothing_up() {
+        let mut admission = admission(8);
+        admission.set_slowness(at(0), 5.0);
+        assert_eq!(admission.offer(at(500), offering(1, 300, 2_000)), Admitted::Wait);
+        admission.set_blind(at(540));
+        assert_eq!(admission.next(at(540)), [(1, Admitted::Run)]);
+        assert_eq!(admission.offer(at(900), offering(2, 300, 2_000)), Admitted::Run);
+    }
+
+    #[test]
+    fn a_full_target_is_not_looked_at_while_work_waits() {
+        let mut admission = admission(1);
+        admission.set_slowness(at(0), 1.0);
+        assert_eq!(admission.offer(at(1), offering(1, 300, 2_000)), Admitted::Run);
+        assert_eq!(admission.offer(at(60), offering(2, 300, 2_000)), Admitted::Wait);
+        assert!(!admission.wants_look(at(60)));
+        assert!(admission.due(at(60)) > at(600));
+        admission.done(at(150), 1, Some(149 * MS));
+        assert!(admission.wants_look(at(150)));
     }
 
     #[test]
--- a/crates/sidecar/src/entry/learned.rs
+++ b/crates/sidecar/src/entry/learned.rs
@@ -1,10 +1,13 @@
 //! What an entry has learned of each route, and its budgets of repeats for each service.
 
-use policy::{RepeatBudget, Weight};
+use policy::{Median, RepeatBudget, Weight};
 use world::Name;
 
-/// Weight of one answer in the moving means.
+/// Weight of one answer in the moving mean of its bytes.
 const WEIGHT: f64 = 0.05;
+/// How much one answer moves the median of the time that work takes, as a share of it. The median,
+/// since some answers take five times as long as the others: a VM's neighbours slow it down.
+const STEP: f64 = 0.04;
 /// Time that work is taken to need before any answer, in microseconds.
 const WORK_US: f64 = 100_000.0;
 /// Bytes of an answer before any came.
@@ -13,26 +16,26 @@
 /// What is learned of the requests of one route.
 #[derive(Clone, Copy, Debug)]
 pub struct Learned {
-    work_us: f64,
+    work_us: Median,
     bytes: f64,
 }
 
 impl Default for Learned {
     fn default() -> Learned {
-        Learned { work_us: WORK_US, bytes: BYTES }
+        Learned { work_us: Median::new(WORK_US, STEP), bytes: BYTES }
     }
 }
 
 impl Learned {
     /// Takes in an answer: the time in the target, and the bytes of its body.
     pub fn answered(&mut self, took_us: u64, bytes: usize) {
-        self.work_us += (took_us as f64 - self.work_us) * WEIGHT;
+        self.work_us.add(took_us as f64);
         self.bytes += (bytes as f64 - self.bytes) * WEIGHT;
     }
 
     /// Returns the weight of a request with a body of `sent` bytes.
     pub fn weight(&self, sent: usize) -> Weight {
-        Weight { work_us: self.work_us, bytes: self.bytes + sent as f64 }
+        Weight { work_us: self.work_us.value(), bytes: self.bytes + sent as f64 }
     }
 }
 
--- a/crates/sidecar/src/guard/pool.rs
+++ b/crates/sidecar/src/guard/pool.rs
@@ -33,7 +33,7 @@
 pub type Connection = SendRequest<Full<Bytes>>;
 
 /// The target closed every idle connection.
-#[derive(Clone, Copy, Debug, Display)]
+#[derive(Clone, Copy, Debug, Display, derive_more::Error)]
 #[display("the target closed every idle connection")]
 pub struct AllClosed;
 
--- a/crates/sidecar/src/guard/probe.rs
+++ b/crates/sidecar/src/guard/probe.rs
@@ -1,5 +1,6 @@
 //! Health checks of the target. They are priced, so that one is sent only where the target may have
-//! started anew or turned cold.
+//! started anew or turned cold, and where long work is about to start and nothing was heard lately of
+//! how slow the VM is.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,7 +9,7 @@
 use bytes::Bytes;
 use http::response::Parts as Head;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use platform::headers;
 use world::Name;
 
@@ -17,6 +18,9 @@
 
 /// The longest wait for an answer. A target that accepts and does not answer is tried with work.
 const ANSWER: Duration = Duration::from_millis(300);
+/// The longest wait for an answer that tells how slow the VM is. It comes within 2 ms as a rule, and
+/// work waits for it.
+const LOOK: Duration = Duration::from_millis(40);
 /// The pause between two probes of a target that accepts no connection.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -48,6 +52,61 @@
     });
 }
 
+/// Looks at how slow the target's VM is, and starts what waited for that.
+pub fn look(guard: &Rc<Guard>) {
+    if guard.looking.replace(true) {
+        return;
+    }
+    let guard = guard.clone();
+    tokio::task::spawn_local(async move {
+        let load = match tokio::time::timeout(LOOK, see(&guard)).await {
+            Ok(Ok(head)) => headers::load(&head.headers),
+            Ok(Err(error)) => {
+                tracing::debug!(%error, "target: a look failed");
+                None
+            }
+            Err(_) => None,
+        };
+        let now = guard.clock.now();
+        {
+            let admission = &mut guard.state.borrow_mut().admission;
+            match load {
+                Some(load) => admission.set_slowness(now, load.slowness),
+                None => admission.set_blind(now),
+            }
+        }
+        guard.looking.set(false);
+        guard.start();
+    });
+}
+
+/// Sends a health check on a connection that is kept.
+async fn see(guard: &Rc<Guard>) -> std::io::Result<Head> {
+    let target = guard.state.borrow().target.clone();
+    let target = target.ok_or_else(|| std::io::Error::other("no target"))?;
+    let idle = guard.pool.take(guard.clock.now()).map_err(|closed| {
+        guard.suspect(&closed.to_string());
+        std::io::Error::other(closed)
+    })?;
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => {
+            guard.metrics.connections.inc();
+            pool::connect(target.address).await?
+        }
+    };
+    let request = check(guard, target.address, &target.service)?;
+    guard.metrics.probes.inc();
+    let answer = connection.send_request(request).await.map_err(std::io::Error::other)?;
+    let (head, body) = answer.into_parts();
+    body.collect().await.map_err(std::io::Error::other)?;
+    if connection.is_ready() {
+        let until = pool::rests_until(guard.clock.now(), &head.headers);
+        guard.pool.give(connection, until);
+    }
+    Ok(head)
+}
+
 impl Guard {
     /// Returns the target that is to be found, if any.
     fn wanted(&self) -> Option<Target> {
@@ -87,20 +146,26 @@
 /// Sends a health check. An error means that there is no connection, and nothing that there is no
 /// answer.
 async fn ask(guard: &Guard, address: SocketAddr, service: &str) -> std::io::Result<Option<Head>> {
-    let rules = guard.rules.current();
-    let rule = rules.as_ref().and_then(|rules| rules.routing.service(service));
-    let path = rule.map_or("/health", |rule| &rule.health);
     let mut connection = pool::connect(address).await?;
-    let request = Request::builder()
-        .uri(path)
-        .header("host", address.to_string())
-        .body(Full::<Bytes>::default())
-        .map_err(std::io::Error::other)?;
+    let request = check(guard, address, service)?;
     guard.metrics.probes.inc();
     let answer = tokio::time::timeout(ANSWER, connection.send_request(request)).await;
     Ok(answer.ok().and_then(Result::ok).map(|answer| answer.into_parts().0))
 }
 
+/// Builds a health check.
+fn check(
+    guard: &Guard,
+    address: SocketAddr,
+    service: &str,
+) -> std::io::Result<Request<Full<Bytes>>> {
+    let rules = guard.rules.current();
+    let rule = rules.as_ref().and_then(|rules| rules.routing.service(service));
+    let path = rule.map_or("/health", |rule| &rule.health);
+    let request = Request::builder().uri(path).header("host", address.to_string());
+    request.body(Full::default()).map_err(std::io::Error::other)
+}
+
 fn judge(target: &Target, answered: &HeaderMap) -> Found {
     match headers::answering(answered) {
         Some(id) if id != target.life.id => Found::Absent(format!("{id} answers")),
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -84,6 +84,8 @@
     draining: Cell<bool>,
     /// A probe is under way.
     pub(super) probing: Cell<bool>,
+    /// A look at how slow the VM is is under way.
+    pub(super) looking: Cell<bool>,
     /// Told when a request begins to wait.
     waiting: Notify,
     /// Whether the target takes requests, for those who tell other nodes.
@@ -112,6 +114,7 @@
             out: Cell::new(false),
             draining: Cell::new(false),
             probing: Cell::new(false),
+            looking: Cell::new(false),
             waiting: Notify::new(),
             changed,
         })
@@ -144,7 +147,7 @@
             open,
             free: admission.free(now).clamp(i32::from(i16::MIN), i32::from(i16::MAX)) as i16,
             slots: admission.slots().min(u32::from(u16::MAX)) as u16,
-            slowness: (admission.slowness(now) * 10.0).clamp(0.0, 255.0) as u8,
+            slowness: admission.known_slowness(now).map_or(0, tenths),
             strain: admission.strain().map_or(0, |strain| (strain * 100.0) as u16),
         }
     }
@@ -263,7 +266,7 @@
 
     /// Takes over a target that answered a health check before any heartbeat.
     pub(super) fn adopt(
-        &self,
+        self: &Rc<Guard>,
         id: &Name,
         service: Name,
         address: SocketAddr,
@@ -286,7 +289,7 @@
     }
 
     /// Takes in that a target is gone or about to go.
-    pub fn deregister(&self, id: Name, born: Option<u64>) {
+    pub fn deregister(self: &Rc<Guard>, id: Name, born: Option<u64>) {
         let mut state = self.state.borrow_mut();
         let current = state.lives.current().filter(|life| life.id == id).cloned();
         let life = match born {
@@ -319,7 +322,7 @@
     }
 
     /// Refuses what waits where the target takes nothing, and starts what can run otherwise.
-    pub fn settle(&self) {
+    pub fn settle(self: &Rc<Guard>) {
         match self.refuses() {
             Some(refusal) => self.refuse_waiting(refusal),
             None => self.start(),
@@ -356,7 +359,7 @@
     }
 
     /// Takes in that a probe found the target, cold for `cold_us` microseconds.
-    pub(super) fn found(&self, life: &Life, cold_us: u64) {
+    pub(super) fn found(self: &Rc<Guard>, life: &Life, cold_us: u64) {
         let mut state = self.state.borrow_mut();
         if state.lives.current() != Some(life) || state.closed != Some(Refusal::NoTarget) {
             return;
@@ -405,12 +408,16 @@
             elsewhere: attempt.elsewhere,
         };
         let mut slot = Slot { guard: self.clone(), id, runs: false, decision: None, took_us: None };
+        let looks = |state: &mut State| state.admission.wants_look(now);
         match state.admission.offer(now, offering) {
             Admitted::Run => slot.runs = true,
             Admitted::Wait => {
                 let (owner, decision) = oneshot::channel();
                 state.owners.push((id, owner));
                 slot.decision = Some(decision);
+                if looks(&mut state) {
+                    probe::look(self);
+                }
             }
             Admitted::Refuse(refusal) => {
                 // The slot's drop looks at the state.
@@ -422,16 +429,20 @@
     }
 
     /// Starts what can run, and refuses what can no longer.
-    pub(super) fn start(&self) {
+    pub(super) fn start(self: &Rc<Guard>) {
+        let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let decided = state.admission.next(self.clock.now());
+        let decided = state.admission.next(now);
         state.decide(decided);
+        if state.admission.wants_look(now) {
+            probe::look(self);
+        }
     }
 
     /// Does what is due by time alone, for as long as the process runs.
     pub async fn tick(self: Rc<Guard>) {
         loop {
-            let due = self.state.borrow().admission.due(self.clock.now());
+            let due = self.state.borrow_mut().admission.due(self.clock.now());
             match due {
                 Time::NEVER => self.waiting.notified().await,
                 due => {
@@ -466,6 +477,11 @@
     }
 }
 
+/// Returns how slow a VM is in tenths, as reports tell it.
+fn tenths(slowness: f64) -> u8 {
+    (slowness * 10.0).clamp(1.0, 255.0) as u8
+}
+
 impl State {
     fn decide(&mut self, decided: Vec<(u64, Admitted)>) {
         for (id, admitted) in decided {
--- a/crates/sidecar/tests/targets.rs
+++ b/crates/sidecar/tests/targets.rs
@@ -15,6 +15,12 @@
         .is_some_and(|answer| answer.status == 200)
 }
 
+/// Returns whether work of 60 ms that is asked at the second VM is done.
+async fn works(deployment: &Deployment, id: &str) -> bool {
+    let request = Ask { id, what: "work=60", ..Ask::default() };
+    deployment.ask(1, &request).await.is_some_and(|answer| answer.status == 200)
+}
+
 async fn up() -> Deployment {
     let mut deployment = Deployment::start(NODE, &[("dc-1", "a"), ("dc-1", "b")]).await;
     deployment.up().await;
@@ -157,3 +163,37 @@
     let within = Duration::from_secs(2);
     assert!(eventually(within, async || runs(&deployment, "reborn").await).await);
 }
+
+#[tokio::test]
+async fn long_work_goes_to_a_vm_that_is_not_slow_and_waits_where_all_are() {
+    let mut deployment =
+        Deployment::start(NODE, &[("dc-1", "a"), ("dc-1", "b"), ("dc-1", "a")]).await;
+    deployment.up().await;
+    // Both targets are heard of, so that their guards know that they tell how slow their VMs are.
+    // More than one of them has slots for.
+    let ids: Vec<String> = (0..12).map(|at| format!("warm-{at}")).collect();
+    let warm = ids.iter().map(|id| works(&deployment, id));
+    assert!(futures_util::future::join_all(warm).await.into_iter().all(|served| served));
+    let both = [0, 2].iter().all(|at| !deployment.vms[*at].target.runs().is_empty());
+    assert!(both, "each was sent some");
+    let slow = |at: usize, hundredths| deployment.vms[at].target.set_slowness(hundredths);
+    slow(0, 500);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    // Less than the time after which a VM is taken to stay slow.
+    for at in 0..3 {
+        assert!(works(&deployment, &format!("slow-{at}")).await);
+    }
+    let at_slow = deployment.vms[0].target.runs();
+    assert!(!at_slow.iter().any(|run| run.id.starts_with("slow")), "{at_slow:?}");
+    slow(2, 500);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let begun = Instant::now();
+    let quiet = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        assert_eq!(deployment.count("held"), 0);
+        slow(0, 100);
+        slow(2, 100);
+    };
+    let (served, ()) = tokio::join!(works(&deployment, "held"), quiet);
+    assert!(served && begun.elapsed() < Duration::from_millis(400), "{:?}", begun.elapsed());
+}
