Two nodes of a data centre watch the operator's table, the others learn from them

Cause: every node read the operator's table at its start and kept a call waiting there, so that each change, start and outage cost as many calls as there are nodes; and every node told every other one of every revision at once: 68 x 67 exchanges for each of a storm's seventeen versions. Ruled out: a longer wait (calls come from changes and starts), peers alone (a deployment of two nodes). Change: the first two live nodes of a data centre by name watch, others where the store turns those away, four at most; a watcher tells its data centre, reports tell the rest, and who learns of a newer revision asks for it; 404 only while a peer or the store vouches for the ruleset; a node that starts again finds its row and need not write it. A waiting call lasts 3 s in place of 25 s, so that a store that turns a watcher away without a word is noticed.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 mod suspects;
 mod time;
 mod versions;
+mod watch;
 
 pub use admission::{Admission, Admitted, Offering, Refusal};
 pub use bucket::Bucket;
@@ -49,3 +50,4 @@
 pub use suspects::{Fingerprint, Permit, Suspects, Suspicion};
 pub use time::Time;
 pub use versions::Versions;
+pub use watch::should_watch;
--- a/crates/sidecar/src/configuration/feed.rs
+++ b/crates/sidecar/src/configuration/feed.rs
@@ -1,4 +1,5 @@
-//! Follows the operator's table: one read, then one call that waits for changes.
+//! Follows the operator's table: one read, then one call that waits for changes. A few nodes of each
+//! data centre do; peers tell the others.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,9 +11,11 @@
 
 use crate::configuration::Rules;
 
-/// How long one call waits for changes. Calls are priced, and the store keeps them waiting for 30 s
-/// at most.
-const WAIT: Duration = Duration::from_secs(25);
+/// How long one call waits for changes. Calls are priced; and where the store turned the node away
+/// without a word, it is known after this time.
+const WAIT: Duration = Duration::from_secs(3);
+/// The pause between two looks at whether this node is to watch the table.
+const LOOK: Duration = Duration::from_millis(100);
 /// The pause after a first failure. It doubles with each further one.
 const PAUSE: Duration = Duration::from_millis(200);
 /// The longest pause, so that a change is in force within 2 s of the store's return.
@@ -47,11 +50,17 @@
     }
 }
 
-/// Follows the operator's table for as long as the process runs.
-pub async fn follow(store: Store, rules: Rc<Rules>) {
+/// Follows the operator's table for as long as the process runs, while `should_watch` holds.
+pub async fn follow(store: Store, rules: Rc<Rules>, should_watch: impl Fn() -> bool) {
     let mut pause = PAUSE;
     let mut draft: Option<Draft> = None;
     loop {
+        if !should_watch() {
+            rules.set_unwatched();
+            draft = None;
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
         match step(&store, &rules, &mut draft).await {
             Ok(()) => {
                 pause = PAUSE;
--- a/crates/sidecar/src/configuration/rules.rs
+++ b/crates/sidecar/src/configuration/rules.rs
@@ -68,6 +68,13 @@
         self.followed.get()
     }
 
+    /// Notes that this node does not watch the store any more; others do.
+    pub fn set_unwatched(&self) {
+        if self.followed.replace(false) {
+            tracing::info!("store: watched by others");
+        }
+    }
+
     /// Notes whether the store tells of changes, and logs when that changes.
     pub fn set_followed(&self, followed: bool, detail: &str) {
         if self.followed.replace(followed) == followed {
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -90,7 +90,7 @@
         let found = host(head).and_then(|host| rules.routing.route(host, head.uri.path()));
         let Some(route) = found else {
             // A newer ruleset that is not known here may have the route.
-            let status = match self.rules.is_followed() {
+            let status = match self.peers.is_current() {
                 true => StatusCode::NOT_FOUND,
                 false => StatusCode::SERVICE_UNAVAILABLE,
             };
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -135,6 +135,7 @@
             report,
             leaving: current.cloned(),
             revision: self.rules.revision(),
+            followed: self.rules.is_followed(),
         }
     }
 
--- a/crates/sidecar/src/peers/directory.rs
+++ b/crates/sidecar/src/peers/directory.rs
@@ -16,6 +16,10 @@
     pub(super) by_first: bool,
 }
 
+/// A node is live that was heard of within this time, in microseconds: it reports once a second at
+/// least, and one report may be lost.
+const LIVE_US: u64 = 2_200_000;
+
 /// Another node.
 #[derive(Debug)]
 pub struct Peer {
@@ -34,6 +38,8 @@
     leaving: RefCell<Option<Life>>,
     /// The revision that it said to have.
     revision: Cell<u64>,
+    /// Whether it said that the store tells it of newer ones.
+    followed: Cell<bool>,
     /// Told when the link changes.
     pub(super) changed: Notify,
 }
@@ -48,6 +54,7 @@
             heard: Cell::default(),
             leaving: RefCell::default(),
             revision: Cell::new(0),
+            followed: Cell::new(false),
             changed: Notify::new(),
         }
     }
@@ -62,6 +69,11 @@
         *self.node.borrow().name == *name
     }
 
+    /// Returns whether its name comes after another.
+    pub(super) fn comes_after(&self, name: &str) -> bool {
+        *self.node.borrow().name > *name
+    }
+
     /// Returns the link to it, where one is open.
     pub fn link(&self) -> Option<Connection> {
         let link = self.link.borrow();
@@ -100,6 +112,16 @@
         self.revision.get()
     }
 
+    /// Returns whether something came from it lately, on a link that is open.
+    pub(super) fn is_live(&self, now: Time) -> bool {
+        now.since(self.heard.get()) < LIVE_US && self.link().is_some()
+    }
+
+    /// Returns whether it said that the store tells it of newer revisions.
+    pub(super) fn is_followed(&self) -> bool {
+        self.followed.get()
+    }
+
     /// Takes over what a node said of itself, and its link. Returns the link that is not to be used
     /// from now on, where there are two.
     pub(super) fn greeted(&self, now: Time, hello: &Hello, link: Link) -> Option<Connection> {
@@ -131,6 +153,7 @@
     pub(super) fn say(&self, now: Time, status: &Status) {
         self.note_heard(now);
         self.revision.set(status.revision);
+        self.followed.set(status.followed);
         if status.leaving.is_some() {
             self.leaving.borrow_mut().clone_from(&status.leaving);
         }
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use policy::{Time, View};
+use policy::{Time, View, should_watch};
 use quinn::{ClientConfig, Endpoint, EndpointConfig, TokioRuntime};
 use rand::Rng;
 use runtime::Clock;
@@ -40,9 +40,16 @@
 const REPORT_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time between two reports for each peer, so that their bytes do not grow with their number.
 const REPORT_EACH: Duration = Duration::from_millis(15);
-/// Time given to the store to tell of a revision before a peer is asked for it.
+/// Time given to the store to tell a node that watches it of a revision before a peer is asked for it.
 const FETCH_DELAY: Duration = Duration::from_millis(150);
 
+/// A node that has just started is told of the ruleset by its peers as a rule, and reads the store
+/// where it was not within this time, in microseconds: linking takes some tens of milliseconds.
+const LEARN_US: u64 = 500_000;
+/// Where all nodes start for the first time, they know each other after this time, in microseconds: they
+/// start within 0.3 s. Until then none can tell whether it is one of those that watch the store.
+const SETTLE_US: u64 = 400_000;
+
 /// What a node is told about itself.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -50,12 +57,15 @@
     pub node: Node,
     /// The socket at which others reach it.
     pub bind: SocketAddr,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
 }
 
 /// The other nodes and the links to them.
 #[derive(Debug)]
 pub struct Peers {
     pub(super) me: Node,
+    pub(super) first_start: bool,
     endpoint: Endpoint,
     client: ClientConfig,
     pub(super) clock: Clock,
@@ -91,6 +101,7 @@
         let endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)?;
         let peers = Rc::new(Peers {
             me: settings.node,
+            first_start: settings.first_start,
             endpoint,
             client,
             clock,
@@ -267,7 +278,7 @@
         }
         let (peers, peer) = (self.clone(), peer.clone());
         tokio::task::spawn_local(async move {
-            if peers.rules.revision() > 0 {
+            if peers.rules.is_followed() {
                 tokio::time::sleep(FETCH_DELAY).await;
             }
             if peer.revision() > peers.rules.revision()
@@ -311,19 +322,61 @@
         self.guard.compare_strain(strains.into_iter());
     }
 
-    /// Tells every peer at once of what they must not learn late.
+    /// Returns whether this node watches the operator's table itself.
+    pub fn should_watch(&self) -> bool {
+        let now = self.clock.now();
+        let is_new = self.rules.revision() == 0;
+        let settles = if self.first_start { SETTLE_US } else { 0 };
+        match is_new {
+            true if now.0 > settles + LEARN_US => return true,
+            true if now.0 < settles || !self.joined.get() => return false,
+            _ => {}
+        }
+        let mut before = Vec::new();
+        self.directory.each(|peer| {
+            let is_before = self.is_near(&peer.data_centre()) && !peer.comes_after(&self.me.name);
+            // Nothing is known of the others yet; they are taken to be live and watching.
+            if is_before && (is_new || peer.is_live(now)) {
+                before.push(is_new || peer.is_followed());
+            }
+        });
+        should_watch(before.into_iter())
+    }
+
+    /// Returns whether the ruleset in force is the newest that this node could know of.
+    pub fn is_current(&self) -> bool {
+        let (now, revision) = (self.clock.now(), self.rules.revision());
+        let mut told = self.rules.is_followed();
+        self.directory.each(|peer| {
+            let is_told = peer.is_followed() && peer.is_live(now);
+            told |= is_told && peer.revision() <= revision;
+        });
+        told
+    }
+
+    /// Tells peers at once of what they must not learn late: every one of a change of the target,
+    /// and those of the data centre of a new revision where this node watches the store. Others
+    /// learn of it by reports.
     async fn tell_changes(self: Rc<Peers>) {
         let mut target = self.guard.subscribe();
         let mut revision = self.rules.subscribe();
         loop {
-            tokio::select! {
-                _ = target.changed() => {}
-                _ = revision.changed() => self.guard.configured(),
+            let all = tokio::select! {
+                _ = target.changed() => true,
+                _ = revision.changed() => {
+                    self.guard.configured();
+                    false
+                }
+            };
+            if !all && !self.rules.is_followed() {
+                continue;
             }
             let status = self.guard.status();
             self.own.borrow_mut().reported(self.clock.now(), status.report);
             let frame = Rc::new(Frame::Status(Box::new(status)));
-            for peer in self.directory.all() {
+            let mut told = self.directory.all();
+            told.retain(|peer| all || self.is_near(&peer.data_centre()));
+            for peer in told {
                 let (peers, frame) = (self.clone(), frame.clone());
                 tokio::task::spawn_local(async move {
                     if peer.link().is_some()
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -44,6 +44,12 @@
         meta = "PATH"
     )]
     settings: Option<PathBuf>,
+    #[options(
+        help = "where other nodes reach this one's links, if not where they are bound",
+        meta = "IP:PORT",
+        no_short
+    )]
+    advertise: Option<SocketAddr>,
     #[options(help = "the port at which metrics are served; none without it", meta = "PORT")]
     metrics: Option<u16>,
 }
@@ -63,7 +69,7 @@
         println!("bamboowheel-sidecar {}", env!("CARGO_PKG_VERSION"));
         return 0;
     }
-    let file = args.settings.or_else(|| std::env::var_os(FILE_VARIABLE).map(PathBuf::from));
+    let file = args.settings.clone().or_else(|| std::env::var_os(FILE_VARIABLE).map(PathBuf::from));
     let Some(file) = file else { return fail(Code::Usage, "no settings file is named") };
     let settings = match read(&file) {
         Ok(settings) => settings,
@@ -74,7 +80,7 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(Code::Usage, &error.to_string()),
     };
-    let code = LocalSet::new().block_on(&runtime, run(settings, file, args.metrics));
+    let code = LocalSet::new().block_on(&runtime, run(settings, file, &args));
     logs::flush();
     code
 }
@@ -96,8 +102,8 @@
     callers: Callers,
 }
 
-async fn run(settings: Settings, file: PathBuf, metrics: Option<u16>) -> i32 {
-    let running = match start(&settings, metrics) {
+async fn run(settings: Settings, file: PathBuf, args: &Args) -> i32 {
+    let running = match start(&settings, args) {
         Ok(running) => running,
         Err(error) => {
             tracing::error!(%error, "node: not started");
@@ -121,7 +127,7 @@
     0
 }
 
-fn start(settings: &Settings, metrics_port: Option<u16>) -> std::io::Result<Running> {
+fn start(settings: &Settings, args: &Args) -> std::io::Result<Running> {
     let clock = Clock::start();
     let metrics = Rc::new(Metrics::default());
     let rules = Rc::new(Rules::open());
@@ -132,8 +138,9 @@
     let guard =
         Guard::open(clock, rules.clone(), metrics.clone(), data_centre.clone(), settings.cold);
     let link = SocketAddr::new(settings.ip, settings.ports.0);
-    let node = Node { name: settings.name.clone(), data_centre, address: link, started: wall_ms() };
-    let peer_settings = peers::Settings { node, bind: link };
+    let address = args.advertise.unwrap_or(link);
+    let node = Node { name: settings.name.clone(), data_centre, address, started: wall_ms() };
+    let peer_settings = peers::Settings { node, bind: link, first_start: settings.first_start };
     let peers = Peers::spawn(peer_settings, clock, rules.clone(), guard.clone(), metrics.clone())?;
     let entry = Entry::open(
         clock,
@@ -145,14 +152,16 @@
         bound(settings),
     );
     let store = Store::open(settings.store);
-    tokio::task::spawn_local(configuration::follow(store, rules));
+    let watcher = peers.clone();
+    let should_watch = move || watcher.should_watch();
+    tokio::task::spawn_local(configuration::follow(store, rules, should_watch));
     tokio::task::spawn_local(peers.join(store));
     tokio::task::spawn_local(guard.clone().tick());
     let search = guard::search(guard.clone(), settings.target, settings.service.clone());
     tokio::task::spawn_local(search);
     tokio::task::spawn_local(platform_side::control(control, guard.clone()));
     tokio::task::spawn_local(platform_side::readiness(ready, entry.clone()));
-    if let Some(port) = metrics_port {
+    if let Some(port) = args.metrics {
         let listener = entry::bind(SocketAddr::new(settings.ip, port))?;
         tokio::task::spawn_local(platform_side::metrics(listener, metrics));
     }
--- a/crates/sidecar/tests/operators.rs
+++ b/crates/sidecar/tests/operators.rs
@@ -104,9 +104,45 @@
 #[tokio::test]
 async fn an_idle_node_makes_few_calls_to_the_store() {
     let deployment = up(&[("dc-1", "a"), ("dc-1", "a")]).await;
-    // A registration, a read of the nodes, a read of the operator's table, a call that waits.
+    // Reads of the nodes around a registration, a read of the operator's table, calls that wait.
     let calls = deployment.store.calls();
     assert!(calls <= 2 * 5, "{calls} calls of two nodes at their start");
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert_eq!(deployment.store.calls(), calls);
 }
+
+#[tokio::test]
+async fn a_few_nodes_watch_the_store_and_the_others_learn_from_them() {
+    let mut deployment = up(&[("dc-1", "a"); 6]).await;
+    // The first two of a data centre watch; nothing of the others' calls reaches the store.
+    deployment.vms[2..].iter().for_each(|vm| vm.door.set(Fault::Silent));
+    let calls = deployment.store.calls();
+    // Six registrations and two watchers.
+    assert!(calls <= 6 * 3 + 2 * 3, "{calls} calls of six nodes at their start");
+    deployment.configure(&[("/new/", "a", "safe")]);
+    for at in 0..6 {
+        let there = eventually(IN_FORCE, async || status(&deployment, at, "/new/x").await == 200);
+        assert!(there.await, "vm-{at}");
+        assert_eq!(status(&deployment, at, "/none/x").await, 404, "vm-{at}");
+    }
+    assert!(deployment.store.calls() - calls <= 4, "{} calls", deployment.store.calls() - calls);
+}
+
+#[tokio::test]
+async fn others_watch_where_the_store_turns_the_watchers_away() {
+    let mut deployment = up(&[("dc-1", "a"); 5]).await;
+    for fault in [Fault::Busy, Fault::Silent] {
+        deployment.vms[..2].iter().for_each(|vm| vm.door.set(fault));
+        let path = format!("/{fault:?}/");
+        deployment.configure(&[(&path, "a", "safe")]);
+        // The bound on a change, and what a store that turns nodes away adds to it at most.
+        let within = Duration::from_secs(7);
+        for at in 0..5 {
+            let path = format!("{path}x");
+            let there = eventually(within, async || status(&deployment, at, &path).await == 200);
+            assert!(there.await, "{fault:?}: vm-{at}");
+        }
+        deployment.vms[..2].iter().for_each(|vm| vm.door.set(Fault::None));
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+    }
+}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -25,6 +25,13 @@
     pub started: u64,
 }
 
+impl Node {
+    /// Returns whether another life of the node is reached in the same way.
+    pub fn is_same_place(&self, other: &Node) -> bool {
+        (&self.data_centre, self.address) == (&other.data_centre, other.address)
+    }
+}
+
 /// One life of a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Life {
@@ -45,6 +52,8 @@
     pub leaving: Option<Life>,
     /// The revision of its ruleset, 0 where it has none.
     pub revision: u64,
+    /// Whether the store tells it of newer ones.
+    pub followed: bool,
 }
 
 /// The first message on a link, in both directions.
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -101,6 +101,7 @@
             report: Report::default(),
             leaving: None,
             revision: 1_000,
+            followed: true,
         },
         leaving: None,
     }));
