Targets of the same data centre first while they have room

Targets were drawn by an expected time with 15% of noise, which hides the few milliseconds that distance costs a call of 300 ms, so that four calls of five left their data centre though targets near had slots free; and a large body went elsewhere when the near VM was slow for a moment. Ruled out: more bytes per call (answers of 1.5 KB). Change: a near target that is known to have a quarter of its slots free goes before all others; a body that costs more to send than a neighbour's spell waits at the only near target. Tests: heavy_days::bytes_between_data_centres (the first failed before: the idle one elsewhere was chosen in half of the cases).

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -35,6 +35,15 @@
 const FAR_US_PER_KB: f64 = 3_000.0;
 /// The round trip between data centres, in microseconds.
 const FAR_RTT_US: f64 = 2_000.0;
+/// Up to this share of its slots a target in the same data centre is taken before any other: bytes
+/// between data centres are priced, and below it work takes no longer on any target that is known.
+const NEAR_USE: f64 = 0.75;
+/// A target that fails more often is not taken before others for being near.
+const NEAR_FAILING: f64 = 0.2;
+/// A VM at least this many times slower than usual is not either.
+const NEAR_SLOWNESS: u8 = 20;
+/// What waiting for a slow VM's neighbours takes, in microseconds: half more than one of their spells.
+const SPELL_US: f64 = 150_000.0;
 
 /// What a guard says of its target on each answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,6 +94,14 @@
     pub near: bool,
 }
 
+impl Weight {
+    /// Whether it costs more to send the request to another data centre than to wait until a VM here
+    /// is quiet.
+    pub fn is_costly_far(&self) -> bool {
+        FAR_US_PER_KB * self.bytes / 1_000.0 >= SPELL_US
+    }
+}
+
 impl View {
     /// Takes in a report.
     pub fn reported(&mut self, now: Time, report: Report) {
@@ -123,6 +140,21 @@
         self.failing * 0.5_f64.powf(halves)
     }
 
+    /// Returns the share of its slots that is taken, as far as is known; over 1 where requests wait.
+    fn used(&self, now: Time) -> f64 {
+        let fresh = (-(now.since(self.at) as f64) / FREE_US).exp();
+        let slots = f64::from(self.report.slots.max(1));
+        let reported = 1.0 - f64::from(self.report.free) / slots;
+        reported * fresh + UNKNOWN_USE * (1.0 - fresh) + f64::from(self.since) / slots
+    }
+
+    /// Whether it can take a request at once, as far as is known.
+    fn is_roomy(&self, now: Time) -> bool {
+        let is_slow =
+            self.report.slowness >= NEAR_SLOWNESS && (now.since(self.at) as f64) < SLOWNESS_US;
+        !is_slow && self.failing(now) < NEAR_FAILING && self.used(now) < NEAR_USE
+    }
+
     /// Returns the expected time to an answer, in microseconds, dearer where it fails or is far.
     pub fn cost(&self, now: Time, near: bool, weight: &Weight) -> f64 {
         let age_us = now.since(self.at) as f64;
@@ -133,10 +165,8 @@
                 UNKNOWN_SLOWNESS + (told - UNKNOWN_SLOWNESS) * (-age_us / SLOWNESS_US).exp()
             }
         };
-        let fresh = (-age_us / FREE_US).exp();
         let slots = f64::from(self.report.slots.max(1));
-        let reported = 1.0 - f64::from(self.report.free) / slots;
-        let used = reported * fresh + UNKNOWN_USE * (1.0 - fresh) + f64::from(self.since) / slots;
+        let used = self.used(now);
         let queued = (used + 1.0 / slots - 1.0).max(0.0);
         let time_us =
             weight.work_us * slowness * (1.0 + queued + USE_WEIGHT * used.clamp(0.0, 1.0));
@@ -149,20 +179,22 @@
     }
 }
 
-/// Returns the index of the cheapest candidate. Doubted ones are chosen only where all are.
+/// Returns the index of the cheapest candidate, of those near that have room where there are any.
+/// Doubted ones are chosen only where all are.
 pub fn choose<'a>(
     now: Time,
     rng: &mut impl Rng,
     weight: &Weight,
     candidates: impl Iterator<Item = Candidate<'a>>,
 ) -> Option<usize> {
-    let mut best: Option<(bool, f64, usize)> = None;
+    let mut best: Option<(bool, bool, f64, usize)> = None;
     for (at, Candidate { view, near }) in candidates.enumerate() {
         let noise = 1.0 + SPREAD * rng.random::<f64>();
-        let rank = (view.is_doubted(now), view.cost(now, near, weight) * noise, at);
+        let is_first = near && view.is_roomy(now);
+        let rank = (view.is_doubted(now), !is_first, view.cost(now, near, weight) * noise, at);
         if best.is_none_or(|least| rank < least) {
             best = Some(rank);
         }
     }
-    best.map(|(_, _, at)| at)
+    best.map(|(.., at)| at)
 }
--- a/crates/policy/tests/heavy_days.rs
+++ b/crates/policy/tests/heavy_days.rs
@@ -333,3 +333,50 @@
         assert!(budget.take(Time(11_000_000), &BOUND, 4));
     }
 }
+
+mod bytes_between_data_centres {
+    use super::*;
+
+    struct Case {
+        what: &'static str,
+        /// The near target: how slow, and its free slots of 12.
+        near: (u8, i16),
+        /// Whether it is chosen before an idle one in another data centre.
+        first: bool,
+    }
+
+    #[test]
+    fn a_near_target_with_room_goes_before_an_idle_one_elsewhere() {
+        let cases = [
+            Case { what: "half full", near: (10, 6), first: true },
+            Case { what: "nothing known of its VM", near: (0, 5), first: true },
+            Case { what: "nearly full", near: (10, 1), first: false },
+            Case { what: "requests wait", near: (10, -3), first: false },
+            Case { what: "slow", near: (50, 12), first: false },
+        ];
+        let weight = Weight { work_us: 100.0 * MS as f64, bytes: 2_000.0 };
+        for Case { what, near, first } in cases {
+            let mut rng = SmallRng::seed_from_u64(7);
+            let views = [near, (10, 12)].map(|(slowness, free)| {
+                let mut view = View::default();
+                view.reported(at(0), Report { open: true, free, slots: 12, slowness, strain: 0 });
+                view
+            });
+            let mut count = 0;
+            for _ in 0..1_000 {
+                let candidates = views.iter().zip([true, false]);
+                let candidates = candidates.map(|(view, near)| Candidate { view, near });
+                count += usize::from(choose(at(10), &mut rng, &weight, candidates) == Some(0));
+            }
+            let expected = if first { 1_000..=1_000 } else { 0..=100 };
+            assert!(expected.contains(&count), "{what}: {count}");
+        }
+    }
+
+    #[test]
+    fn a_large_body_waits_for_a_near_vm_and_a_small_one_moves_on() {
+        let weight = |bytes| Weight { work_us: 100.0 * MS as f64, bytes };
+        assert!(weight(60_000.0).is_costly_far());
+        assert!(!weight(2_000.0).is_costly_far());
+    }
+}
--- a/crates/sidecar/src/entry/attempt.rs
+++ b/crates/sidecar/src/entry/attempt.rs
@@ -34,6 +34,14 @@
         }
     }
 
+    /// Whether it is in this node's data centre.
+    pub fn is_near(&self, entry: &Entry) -> bool {
+        match self {
+            Place::Here => true,
+            Place::There(peer) => entry.peers.is_near(&peer.data_centre()),
+        }
+    }
+
     /// Notes how an attempt there ended.
     pub fn ended(&self, entry: &Entry, success: bool) {
         let now = entry.clock.now();
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -154,7 +154,7 @@
                 }
                 None => return None,
             };
-            let is_last = !eager || self.places().len() < 2;
+            let is_last = !eager || self.places().len() < 2 || self.is_settled(&place);
             patient += usize::from(is_last);
             if patient > PATIENT || !self.may_reach() {
                 return None;
@@ -168,6 +168,15 @@
         None
     }
 
+    /// Whether it is better to wait at a place than to send the body to another data centre.
+    fn is_settled(&self, place: &Place) -> bool {
+        let weight = self.entry.routes.borrow_mut().of(&self.route.name).weight(self.body.len());
+        let is_other = |other: &Place| other.name(self.entry) != place.name(self.entry);
+        let others = self.places();
+        let mut near = others.iter().filter(|other| other.is_near(self.entry));
+        weight.is_costly_far() && place.is_near(self.entry) && !near.any(is_other)
+    }
+
     /// Whether the last refusal may be otherwise in a moment.
     fn may_wait(&self) -> bool {
         matches!(self.refusal, Refusal::Busy | Refusal::Slow | Refusal::Cold)
