Links without probes of the path, and one of two where all start

Probes for the path's packet size were most of a link's bytes at its start, and two nodes that start together each opened a link to the other. Ruled out: reports (130 bytes a second and link), lists of nodes (gone before). Change: packets of 1,400 bytes without probes; no session tickets; the second of two names waits for the first one's link, 0.4 s at a first start and 30 ms later. A first start names its watchers after 0.9 s.

--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -27,6 +27,10 @@
 const CONNECT: Duration = Duration::from_millis(1_000);
 /// The pause after a failed attempt to link. It doubles with each further one.
 const PAUSE: Duration = Duration::from_millis(200);
+/// The time that the second of two names leaves to the first where all nodes start: within 0.3 s.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// The same at any later start, when the first may not know of the second: two round trips or so.
+const LATER_PAUSE: Duration = Duration::from_millis(30);
 /// The longest pause between two attempts to link.
 const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
 /// A node without a link for this long is forgotten, in microseconds.
@@ -46,9 +50,10 @@
 /// A node that has just started is told of the ruleset by its peers as a rule, and reads the store
 /// where it was not within this time, in microseconds: linking takes some tens of milliseconds.
 const LEARN_US: u64 = 500_000;
-/// Where all nodes start for the first time, they know each other after this time, in microseconds: they
-/// start within 0.3 s. Until then none can tell whether it is one of those that watch the store.
-const SETTLE_US: u64 = 400_000;
+/// Where all nodes start for the first time, they are linked after this time, in microseconds: they
+/// start within 0.3 s, and a link waits for `FIRST_PAUSE` at most. Until then none can tell whether it is
+/// one of those that watch the store.
+const SETTLE_US: u64 = 900_000;
 
 /// What a node is told about itself.
 #[derive(Clone, Debug)]
@@ -151,6 +156,10 @@
     async fn keep(self: Rc<Peers>, peer: Rc<Peer>) {
         let mut pause = PAUSE;
         let mut linked = self.clock.now();
+        if self.me.name > peer.node().name {
+            // Where both start at the same time, one link is enough.
+            self.rest(&peer, if self.first_start { FIRST_PAUSE } else { LATER_PAUSE }).await;
+        }
         while self.clock.now().since(linked) < FORGET_US {
             if let Some(link) = peer.link() {
                 let reason = link.closed().await;
--- a/crates/wire/src/tls.rs
+++ b/crates/wire/src/tls.rs
@@ -25,6 +25,10 @@
 /// Bytes of one link that a peer may send ahead.
 const LINK_WINDOW: u32 = 8 * 1024 * 1024;
 
+/// The longest packet, in bytes: a path of 1,500 bytes less the headers of IP and UDP, and 72 bytes for
+/// what a tunnel may add.
+const PACKET: u16 = 1_400;
+
 /// Where a node's certificate comes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Trust {
@@ -144,6 +148,8 @@
         .with_single_cert(vec![chain.cert.clone()], chain.key.clone_key())
         .map_err(unfit)?;
     config.alpn_protocols = vec![PROTOCOL.to_vec()];
+    // A link is opened anew too rarely for a session to be resumed.
+    config.send_tls13_tickets = 0;
     QuicServerConfig::try_from(config).map_err(unfit)
 }
 
@@ -169,6 +175,10 @@
     transport.stream_receive_window(VarInt::from_u32(STREAM_WINDOW));
     transport.receive_window(VarInt::from_u32(LINK_WINDOW));
     transport.send_window(u64::from(LINK_WINDOW));
+    // Probes for the path's limit were most of the bytes of a link at its start. Where packets of
+    // this size are lost they shrink to the least that the protocol allows.
+    transport.mtu_discovery_config(None);
+    transport.initial_mtu(PACKET);
     Ok(transport)
 }
 
