A late answer's line tells where its time went

Cause: an entry's line of a late answer had no figure for the target's part, and its guard said nothing, so that waiting and a slow target looked alike. Change: the entry's line has target_us; a guard logs, within its budget, answers that came later than the aim it was given, with the time in the target, the queue and the VM's slowness.

--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -66,6 +66,8 @@
     failure: Option<Answer>,
     /// The last refusal.
     refusal: Refusal,
+    /// The time of the answer in its target, in microseconds; 0 without one.
+    target_us: u64,
     /// What was seen of the last attempt without an answer.
     detail: String,
 }
@@ -117,6 +119,7 @@
             lost: false,
             failure: None,
             refusal: Refusal::NoTarget,
+            target_us: 0,
             detail: String::new(),
         };
         self.budgets.borrow_mut().of(&call.service).request(arrived, &self.bound.get());
@@ -376,6 +379,7 @@
         match outcome {
             Outcome::Answer(answer) => {
                 self.reached += 1;
+                self.target_us = answer.took_us;
                 let mut routes = self.entry.routes.borrow_mut();
                 routes.of(&self.route.name).answered(answer.took_us, answer.body.len());
                 if !answer.status.is_server_error() || self.route.repeat == Repeat::Never {
@@ -461,6 +465,7 @@
             service = &*self.service,
             status = status.as_u16(),
             took_us,
+            target_us = self.target_us,
             attempts = self.attempts,
             reached = self.reached,
             hedged = self.hedged,
--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -69,16 +69,21 @@
         outcome
     }
 
-    /// Logs what did not end with an answer, within a budget of lines.
+    /// Logs what ended late or without an answer, within a budget of lines.
     fn log(&self, attempt: &Attempt, outcome: &Outcome, took_us: u64) {
         let now = self.clock.now();
         let (refusal, detail) = match outcome {
-            Outcome::Answer(_) => return,
+            Outcome::Answer(_) if took_us <= attempt.aim_us => return,
+            Outcome::Answer(_) => (None, ""),
             // Its entry asks elsewhere, and logs where that was in vain.
             Outcome::NotRun { .. } if attempt.elsewhere => return,
             Outcome::NotRun { refusal, .. } => (Some(*refusal), ""),
             Outcome::Lost { detail } => (None, detail.as_str()),
         };
+        let answer = match outcome {
+            Outcome::Answer(answer) => Some(answer),
+            _ => None,
+        };
         let mut state = self.state.borrow_mut();
         if !state.lines.take(now, 1.0) {
             self.metrics.unlogged.inc();
@@ -91,6 +96,7 @@
             refusal = refusal.map(tracing::field::display),
             detail,
             took_us,
+            target_us = answer.map(|answer| answer.took_us),
             left_us = attempt.left_us,
             running = admission.running(),
             waiting = admission.waiting(),
@@ -98,7 +104,11 @@
             slowness = admission.slowness(now),
             work_us = admission.work_us(),
             "guard: {}",
-            if refusal.is_some() { "refused" } else { "lost" }
+            match (answer, refusal) {
+                (Some(_), _) => "late",
+                (None, Some(_)) => "refused",
+                (None, None) => "lost",
+            }
         );
     }
 
