A target that was found by a health check leaves when it deregisters

Cause: a node that starts beside a running target takes it over from a health check, which does not tell its start. Ruled out: entries (the guard sent; one run 2 s after the acknowledgement), delayed heartbeats (none). Change: after the goodbye is noted, the guard closes where the current life is over by it. Test: targets.rs 'found by a health check leaves' failed first, passes now.

--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -300,13 +300,14 @@
         if life.born == 0 {
             state.lives.left_unknown(id.clone(), wall_ms());
         }
-        if current.as_ref() != Some(&life) {
+        state.lives.left(life);
+        // One that was found by a health check is known by its id only until it tells its start.
+        let is_current = state.lives.current().is_some_and(|life| state.lives.is_over(life));
+        if current.is_none() || !is_current {
             tracing::info!(id = &*id, born, "target: a life that is not known deregistered");
-            state.lives.left(life);
             return;
         }
         tracing::info!(id = &*id, "target: deregistered");
-        state.lives.left(life);
         state.closed = Some(Refusal::Leaving);
         drop(state);
         self.settle();
@@ -409,14 +410,13 @@
             elsewhere: attempt.elsewhere,
         };
         let mut slot = Slot { guard: self.clone(), id, runs: false, decision: None, took_us: None };
-        let looks = |state: &mut State| state.admission.wants_look(now);
         match state.admission.offer(now, offering) {
             Admitted::Run => slot.runs = true,
             Admitted::Wait => {
                 let (owner, decision) = oneshot::channel();
                 state.owners.push((id, owner));
                 slot.decision = Some(decision);
-                if looks(&mut state) {
+                if state.admission.wants_look(now) {
                     probe::look(self);
                 }
             }
--- a/crates/sidecar/tests/targets.rs
+++ b/crates/sidecar/tests/targets.rs
@@ -197,3 +197,17 @@
     let (served, ()) = tokio::join!(works(&deployment, "held"), quiet);
     assert!(served && begun.elapsed() < Duration::from_millis(400), "{:?}", begun.elapsed());
 }
+
+#[tokio::test]
+async fn a_target_that_was_found_by_a_health_check_leaves_when_it_tells_its_start() {
+    let mut deployment = up().await;
+    deployment.vms[0].kill().await;
+    deployment.restart(0);
+    // Before any heartbeat: its start is not known here.
+    let within = Duration::from_millis(2_500);
+    assert!(eventually(within, async || runs(&deployment, "found").await).await);
+    let goodbye = deployment.vms[0].deregister_call("i-vm-0", 1_000);
+    assert_eq!(goodbye.send().await, 200);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(!runs(&deployment, "left").await);
+}
