Link to a subset of each service's targets, and learn of nodes by gossip

A starting node reads 24 rows of the registry, those that follow its own name, and the rest from peers. Which nodes watch the operator's table is passed on among the nodes of a data centre (policy::Watchers) in place of being seen on the links to all. Rows of nodes that are gone are removed by the next one by name. New frames and datagrams are appended, so that older nodes still decode the rest.

--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -35,6 +35,13 @@
 const SENDS_PER_DOUBLING: u32 = 3;
 /// Shortest interval between two list comparisons started by a differing digest, in microseconds.
 const SYNC_INTERVAL_US: u64 = 10_000_000;
+/// The same after a comparison that brought several new members, since the list is then likely to
+/// be incomplete still.
+const INCOMPLETE_SYNC_INTERVAL_US: u64 = 700_000;
+/// New members in one comparison from which the list is taken to be incomplete.
+const MANY_NEW_MEMBERS: usize = 4;
+/// Time for which a member is down until its row in the store is removed, in microseconds.
+const ROW_RETENTION_US: u64 = 120_000_000;
 /// Longest received list whose members are still passed on as updates.
 const MAX_GOSSIPED_LIST: usize = 32;
 /// Buckets into which members are hashed to compare lists.
@@ -49,6 +56,8 @@
     since: Time,
     /// How often this node still has to send it on as an update.
     sends: u32,
+    /// Whether this node has removed its row from the store since it is down.
+    row_removed: bool,
 }
 
 /// A probe without an answer yet.
@@ -162,10 +171,51 @@
     pub fn merge(&mut self, now: Time, members: Vec<Member>) -> Vec<MemberAction> {
         // The other nodes already know the members of a long list.
         let gossip = members.len() <= MAX_GOSSIPED_LIST;
+        let known = self.records.len();
         members.into_iter().for_each(|member| self.apply_update(now, member, gossip));
+        if self.records.len() >= known + MANY_NEW_MEMBERS {
+            self.next_sync = self.next_sync.min(now.after(INCOMPLETE_SYNC_INTERVAL_US));
+        }
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns an update that introduces this node on a new link.
+    pub fn introduction(&mut self, receiver: &Name) -> MemberMessage {
+        let (from, digest, news) = (self.local.clone(), self.digest(), self.updates(receiver));
+        MemberMessage { probe: MessageKind::News, from, digest, version: self.version, news }
+    }
+
+    /// Returns the members that this node probes. Links to them connect all nodes.
+    pub fn probed(&self) -> impl Iterator<Item = &Member> {
+        self.fingers().into_iter().map(|at| &self.records[at].member)
+    }
+
+    /// Records that the row of a member that is down was removed, or need not be.
+    pub fn row_removed(&mut self, name: &str) {
+        if let Ok(at) = self.find(name)
+            && !self.records[at].member.is_up()
+        {
+            self.records[at].row_removed = true;
+        }
+    }
+
+    /// Returns members that have been down for so long that their rows in the store are to be
+    /// removed, and that this node is responsible for: it is the next one by name that is up.
+    pub fn rows_to_remove(&self, now: Time) -> Vec<Name> {
+        let is_gone = |record: &&Record| {
+            !record.member.is_up()
+                && !record.row_removed
+                && now.since(record.since) >= ROW_RETENTION_US
+        };
+        let is_next = |name: &Name| {
+            let up = || self.up().map(|member| &member.name).chain([&self.local.name]);
+            let next = up().filter(|other| *other > name).min().or_else(|| up().min());
+            next == Some(&self.local.name)
+        };
+        let gone = self.records.iter().filter(is_gone).map(|record| record.member.name.clone());
+        gone.filter(is_next).collect()
+    }
+
     /// Returns the combined digest of each bucket of members, for a peer to compare with its own.
     pub fn summary(&self) -> Vec<u64> {
         let mut buckets = vec![0; SUMMARY_BUCKETS];
@@ -207,7 +257,7 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Runs the timers. Must be called at least every 100 ms.
+    /// Runs the timers. Must be called at least every 200 ms.
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<MemberAction> {
         if now.since(self.last_tick) > PAUSE_US {
             self.reset_after_pause(now);
@@ -249,9 +299,11 @@
         self.ping(now, fingers[self.finger], None);
     }
 
-    /// Probes a random dead member, which refutes its death if it is up. Forgets members that died
-    /// or left long ago.
+    /// Forgets members that died or left long ago, and probes a random dead one, which refutes its
+    /// death if it is up.
     fn probe_dead(&mut self, now: Time, rng: &mut impl Rng) {
+        self.records
+            .retain(|record| record.member.is_up() || now.since(record.since) < DEAD_RETENTION_US);
         let is_dead = |at: &usize| self.records[*at].member.health == Health::Dead;
         let dead: Vec<usize> = (0..self.records.len()).filter(is_dead).collect();
         if dead.is_empty() {
@@ -260,8 +312,6 @@
         let at = dead[rng.random_range(0..dead.len())];
         self.records[at].sends = self.records[at].sends.max(1);
         self.send_with(at, MessageKind::Ping, true);
-        self.records
-            .retain(|record| record.member.is_up() || now.since(record.since) < DEAD_RETENTION_US);
     }
 
     fn ping(&mut self, now: Time, at: usize, requester: Option<Name>) {
@@ -372,7 +422,7 @@
                 }
                 self.push_change(before, &member);
                 let since = if before == member.health { self.records[at].since } else { now };
-                self.records[at] = Record { member, since, sends };
+                self.records[at] = Record { member, since, sends, row_removed: false };
             }
             Ok(_) => {}
             Err(at) => {
@@ -380,7 +430,8 @@
                     self.actions.push(MemberAction::Event(Code::MemberJoined, member.name.clone()));
                     self.actions.push(MemberAction::Changed);
                 }
-                self.records.insert(at, Record { member, since: now, sends });
+                let record = Record { member, since: now, sends, row_removed: false };
+                self.records.insert(at, record);
             }
         }
     }
--- a/crates/policy/src/watch.rs
+++ b/crates/policy/src/watch.rs
@@ -1,16 +1,145 @@
 //! Selection of the nodes that watch the operator's table in the store. Calls to the store are
 //! charged for and limited, so that only a few nodes of each data centre watch it, and the others
 //! receive changes from these.
+//!
+//! Nodes pass on which nodes watch and how long ago each of them said so. A node starts to watch
+//! when it has known too few watchers for a time that grows with its rank, and stops when it knows
+//! enough whose names sort before its own.
+
+use serde::{Deserialize, Serialize};
+use world::Name;
+
+use crate::Time;
 
 /// Nodes of a data centre that watch the table: one, and a spare in case it is lost.
 const WATCHERS: usize = 2;
 /// Limit of the nodes of a data centre that try to watch while the store refuses some of them.
 const MAX_CANDIDATES: usize = 4;
+/// What a node said of itself counts for this long, in microseconds. It is passed on at least once
+/// a second, and a data centre is a few hops wide.
+const VALID_US: u64 = 3_000_000;
+/// How long too few watchers are known before the first node by name takes over, in microseconds.
+const TAKEOVER_US: u64 = 300_000;
+/// How much longer each further node waits, in microseconds: the time in which every node of a data
+/// centre learns of a new watcher.
+const TAKEOVER_STEP_US: u64 = 300_000;
+
+/// What a node said of its watch on the operator's table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Watcher {
+    /// Its name.
+    pub name: Name,
+    /// The revision of its ruleset at that time.
+    pub revision: u64,
+    /// Whether it received changes from the store, or had just stopped to.
+    pub active: bool,
+    /// How long ago it said so, in microseconds.
+    pub age_us: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Listed {
+    watcher: Watcher,
+    /// When it said so.
+    at: Time,
+}
+
+/// The watchers of a node's own data centre, as far as that node knows.
+#[derive(Clone, Debug)]
+pub struct Watchers {
+    local: Name,
+    /// Sorted by name; includes this node if it watches or has just stopped.
+    listed: Vec<Listed>,
+    /// Since when too few other watchers were known; may lie ahead at a start. `None` while there
+    /// are enough.
+    few_since: Option<Time>,
+}
+
+impl Watchers {
+    /// Creates the list of a node that knows no watcher, and does not take over before `earliest`.
+    pub fn new(earliest: Time, local: Name) -> Watchers {
+        Watchers { local, listed: Vec::new(), few_since: Some(earliest) }
+    }
+
+    /// Records whether this node watches: the revision of its ruleset if it does. Returns whether
+    /// that changed, which must be passed on at once.
+    pub fn set_own(&mut self, now: Time, revision: Option<u64>) -> bool {
+        let own = self.listed.iter().find(|listed| listed.watcher.name == self.local);
+        let was_active = own.is_some_and(|own| own.watcher.active);
+        if revision.is_some() || was_active {
+            let (name, active) = (self.local.clone(), revision.is_some());
+            let revision = revision.unwrap_or_default();
+            self.insert(Listed { watcher: Watcher { name, revision, active, age_us: 0 }, at: now });
+        }
+        was_active != revision.is_some()
+    }
+
+    /// Merges what a peer of the same data centre passed on. Returns whether a node began or
+    /// stopped to watch, which must be passed on at once.
+    pub fn merge(&mut self, now: Time, received: &[Watcher]) -> bool {
+        self.expire(now);
+        let mut changed = false;
+        for watcher in received {
+            if watcher.name == self.local {
+                continue;
+            }
+            let at = Time(now.0.saturating_sub(watcher.age_us));
+            let known = self.listed.iter().find(|listed| listed.watcher.name == watcher.name);
+            if now.since(at) >= VALID_US || known.is_some_and(|known| known.at >= at) {
+                continue;
+            }
+            changed |= known.is_some_and(|known| known.watcher.active) != watcher.active;
+            self.insert(Listed { watcher: watcher.clone(), at });
+        }
+        changed
+    }
+
+    /// Returns what to pass on.
+    pub fn list(&mut self, now: Time) -> Vec<Watcher> {
+        self.expire(now);
+        let with_age =
+            |listed: &Listed| Watcher { age_us: now.since(listed.at), ..listed.watcher.clone() };
+        self.listed.iter().map(with_age).collect()
+    }
+
+    /// Returns whether this node is to try to watch the table. `tries` is whether it does so
+    /// already, and `rank` how many live nodes of the data centre sort before it by name.
+    pub fn should_watch(&mut self, now: Time, tries: bool, rank: usize) -> bool {
+        self.expire(now);
+        let others = self
+            .listed
+            .iter()
+            .filter(|listed| listed.watcher.active && listed.watcher.name != self.local);
+        let (count, before) = others.fold((0, 0), |(count, before), other| {
+            (count + 1, before + usize::from(other.watcher.name < self.local))
+        });
+        if count >= WATCHERS {
+            self.few_since = None;
+            return tries && before < WATCHERS;
+        }
+        let since = *self.few_since.get_or_insert(now);
+        let wait_us = TAKEOVER_US + rank as u64 * TAKEOVER_STEP_US;
+        tries || rank < MAX_CANDIDATES && now.since(since) >= wait_us
+    }
+
+    /// Returns whether a watcher has no newer ruleset than `revision`, so that no newer one is
+    /// likely to be in force elsewhere.
+    pub fn confirms(&mut self, now: Time, revision: u64) -> bool {
+        self.expire(now);
+        let current =
+            |listed: &Listed| listed.watcher.active && listed.watcher.revision <= revision;
+        self.listed.iter().any(current)
+    }
+
+    fn insert(&mut self, listed: Listed) {
+        let by_name = |known: &Listed| known.watcher.name.cmp(&listed.watcher.name);
+        match self.listed.binary_search_by(by_name) {
+            Ok(at) => self.listed[at] = listed,
+            Err(at) => self.listed.insert(at, listed),
+        }
+    }
 
-/// Returns whether a node is to watch the table itself. `earlier` has an item for each live node of
-/// its data centre whose name sorts before its own: whether the store answers that node.
-pub fn should_watch(earlier: impl Iterator<Item = bool>) -> bool {
-    let (nodes, answered) =
-        earlier.fold((0, 0), |(nodes, answered), ok| (nodes + 1, answered + usize::from(ok)));
-    answered < WATCHERS && nodes < MAX_CANDIDATES
+    fn expire(&mut self, now: Time) {
+        self.listed.retain(|listed| now.since(listed.at) < VALID_US);
+    }
 }
--- a/crates/policy/tests/watch.rs
+++ b/crates/policy/tests/watch.rs
@@ -1,28 +1,150 @@
-//! Selection of the nodes that watch the operator's table.
+//! Selection of the nodes that watch the operator's table, in virtual time: nodes of one data
+//! centre that pass on what they know over a few links each.
 
-use policy::should_watch;
+use policy::{Time, Watcher, Watchers};
+use world::Name;
 
-struct Case {
-    /// Whether the store answers each live node whose name sorts before, in order.
-    earlier: &'static [bool],
-    watches: bool,
+const MS: u64 = 1_000;
+/// How often nodes pass on what they know.
+const REPORT_MS: u64 = 700;
+/// Links of each node.
+const LINKS: usize = 4;
+
+struct Node {
+    name: Name,
+    watchers: Watchers,
+    tries: bool,
+    /// Whether the store answers it.
+    answered: bool,
+    alive: bool,
+}
+
+/// Nodes of one data centre, each linked to the next few.
+struct DataCentre {
+    nodes: Vec<Node>,
+    now: Time,
+}
+
+impl DataCentre {
+    fn open(count: usize) -> DataCentre {
+        let node = |at: usize| {
+            let name: Name = format!("vm-{at:03}").into();
+            let watchers = Watchers::new(Time(0), name.clone());
+            Node { name, watchers, tries: false, answered: true, alive: true }
+        };
+        DataCentre { nodes: (0..count).map(node).collect(), now: Time(0) }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.after(100 * MS);
+        let count = self.nodes.len();
+        for at in 0..count {
+            if !self.nodes[at].alive {
+                continue;
+            }
+            let rank = self.nodes[..at].iter().filter(|node| node.alive).count();
+            let node = &mut self.nodes[at];
+            node.tries = node.watchers.should_watch(self.now, node.tries, rank);
+            let own = (node.tries && node.answered).then_some(7);
+            let changed = node.watchers.set_own(self.now, own);
+            if changed || (self.now.0 / MS + at as u64 * 100) % REPORT_MS == 0 {
+                self.pass_on(at);
+            }
+        }
+    }
+
+    /// Sends what a node knows over its links, and on from there if it is new.
+    fn pass_on(&mut self, from: usize) {
+        let list = self.nodes[from].watchers.list(self.now);
+        let count = self.nodes.len();
+        for step in 1..=LINKS {
+            for to in [(from + step) % count, (from + count * LINKS - step) % count] {
+                let news = self.nodes[to].watchers.merge(self.now, &list);
+                if self.nodes[to].alive && news {
+                    self.pass_on(to);
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        (0..ms / 100).for_each(|_| self.step());
+    }
+
+    fn watching(&self) -> Vec<usize> {
+        let watches = |node: &Node| node.alive && node.tries && node.answered;
+        (0..self.nodes.len()).filter(|at| watches(&self.nodes[*at])).collect()
+    }
+
+    fn trying(&self) -> usize {
+        self.nodes.iter().filter(|node| node.alive && node.tries).count()
+    }
+}
+
+#[test]
+fn two_nodes_watch_whatever_the_size_of_the_data_centre() {
+    for count in [1, 2, 3, 12, 60, 200] {
+        let mut data_centre = DataCentre::open(count);
+        data_centre.run(2_000);
+        let expected: Vec<usize> = (0..count.min(2)).collect();
+        assert_eq!(data_centre.watching(), expected, "{count} nodes");
+        data_centre.run(20_000);
+        assert_eq!(data_centre.watching(), expected, "{count} nodes, later");
+    }
+}
+
+#[test]
+fn others_take_over_within_seconds_and_keep_the_watch() {
+    for alive in [true, false] {
+        let mut data_centre = DataCentre::open(30);
+        data_centre.run(3_000);
+        data_centre.nodes[..2].iter_mut().for_each(|node| {
+            node.alive = alive;
+            node.answered = false;
+        });
+        // Nodes that lose the store say so; those that die are missed after three seconds.
+        data_centre.run(if alive { 1_500 } else { 4_000 });
+        assert_eq!(data_centre.watching(), [2, 3], "alive: {alive}");
+        data_centre.nodes[..2].iter_mut().for_each(|node| {
+            node.alive = true;
+            node.answered = true;
+        });
+        data_centre.run(5_000);
+        assert_eq!(data_centre.watching().len(), 2, "alive: {alive}");
+    }
 }
 
 #[test]
-fn a_few_nodes_watch_and_others_take_over() {
+fn few_nodes_try_while_the_store_is_down() {
+    let mut data_centre = DataCentre::open(60);
+    data_centre.run(3_000);
+    data_centre.nodes.iter_mut().for_each(|node| node.answered = false);
+    data_centre.run(20_000);
+    assert_eq!((data_centre.watching().len(), data_centre.trying()), (0, 4));
+    data_centre.nodes.iter_mut().for_each(|node| node.answered = true);
+    data_centre.run(3_000);
+    assert_eq!(data_centre.watching(), [0, 1]);
+}
+
+#[test]
+fn a_watcher_confirms_only_a_revision_that_is_not_older_than_its_own() {
+    let watcher =
+        |revision, active, age_us| Watcher { name: "vm-1".into(), revision, active, age_us };
+    struct Case {
+        received: Watcher,
+        confirms: bool,
+    }
     let cases = [
-        Case { earlier: &[], watches: true },
-        Case { earlier: &[true], watches: true },
-        Case { earlier: &[true, true], watches: false },
-        // The store refuses one node.
-        Case { earlier: &[false, true], watches: true },
-        Case { earlier: &[false, true, true], watches: false },
-        // While the store is down, four nodes try to watch.
-        Case { earlier: &[false, false, false], watches: true },
-        Case { earlier: &[false, false, false, false], watches: false },
-        Case { earlier: &[false; 60], watches: false },
+        Case { received: watcher(5, true, 0), confirms: true },
+        Case { received: watcher(4, true, 2_000 * MS), confirms: true },
+        Case { received: watcher(6, true, 0), confirms: false },
+        Case { received: watcher(5, false, 0), confirms: false },
+        Case { received: watcher(5, true, 4_000 * MS), confirms: false },
     ];
-    for Case { earlier, watches } in cases {
-        assert_eq!(should_watch(earlier.iter().copied()), watches, "{earlier:?}");
+    for Case { received, confirms } in cases {
+        let now = Time(60_000 * MS);
+        let mut watchers = Watchers::new(now, "vm-0".into());
+        watchers.merge(now, &[received.clone()]);
+        assert_eq!(watchers.confirms(now, 5), confirms, "{received:?}");
     }
 }
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -126,6 +126,7 @@
             target_us: 0,
             detail: String::new(),
         };
+        self.peers.use_service(&request.service);
         self.budgets
             .borrow_mut()
             .value_mut(&request.service)
@@ -215,8 +216,7 @@
         }
         let (now, bound) = (self.entry.clock.now(), self.entry.retry_bound.get());
         let mut budgets = self.entry.budgets.borrow_mut();
-        let taken =
-            budgets.value_mut(&self.service).take(now, &bound, self.entry.peers.peak_nodes());
+        let taken = budgets.value_mut(&self.service).take(now, &bound, self.entry.peers.fleet());
         if taken {
             self.entry.metrics.repeats.inc();
         }
--- a/crates/sidecar/src/peers/directory.rs
+++ b/crates/sidecar/src/peers/directory.rs
@@ -1,4 +1,4 @@
-//! The state of each other node, and the list of the nodes that are known.
+//! The state of each node that this one is linked to, was linked to recently, or opens a link to.
 //!
 //! Two nodes share one link. Where they have to agree on which of them acts first, or on which of
 //! two links is kept, the order of their names decides: the lower node is the one whose name sorts
@@ -19,12 +19,10 @@
     pub(super) connection: Connection,
     /// Whether the lower node opened it.
     pub(super) by_lower: bool,
+    /// Whether this node opened it.
+    pub(super) opened: bool,
 }
 
-/// A node counts as live for this time after its last message, in microseconds: it reports at least
-/// once a second, and one report may be lost.
-const LIVE_US: u64 = 2_200_000;
-
 /// Another node, with what it last reported of itself.
 #[derive(Debug)]
 pub struct Peer {
@@ -42,8 +40,14 @@
     leaving: RefCell<Option<Life>>,
     /// The revision of its ruleset, 0 if it has none.
     revision: Cell<u64>,
-    /// Whether it receives changes of the ruleset from the store.
-    watching: Cell<bool>,
+    /// Until when this node wants a link to it; [`Time::NEVER`] while it is selected.
+    pub(super) wanted_until: Cell<Time>,
+    /// Whether a task opens links to it.
+    pub(super) maintained: Cell<bool>,
+    /// When a request last used the link, in either direction.
+    pub(super) last_used: Cell<Time>,
+    /// Since when there is no link to it or its target refuses requests, as last checked.
+    pub(super) closed_since: Cell<Option<Time>>,
     /// Notified when the link changes.
     pub(super) link_changed: Notify,
 }
@@ -58,7 +62,10 @@
             last_received: Cell::default(),
             leaving: RefCell::default(),
             revision: Cell::new(0),
-            watching: Cell::new(false),
+            wanted_until: Cell::default(),
+            maintained: Cell::new(false),
+            last_used: Cell::default(),
+            closed_since: Cell::default(),
             link_changed: Notify::new(),
         }
     }
@@ -68,16 +75,19 @@
         self.node.borrow().clone()
     }
 
+    /// Replaces what is known of the node by a later record of it.
+    pub(super) fn update_node(&self, node: &Node) {
+        let mut known = self.node.borrow_mut();
+        if node.started > known.started && self.link().is_none() {
+            known.clone_from(node);
+        }
+    }
+
     /// Returns whether this is its name, without copying it.
     pub fn has_name(&self, name: &str) -> bool {
         *self.node.borrow().name == *name
     }
 
-    /// Returns whether its name sorts after another one.
-    pub(super) fn sorts_after(&self, name: &str) -> bool {
-        *self.node.borrow().name > *name
-    }
-
     /// Returns the link to it, or `None` if none is open.
     pub fn link(&self) -> Option<Connection> {
         let link = self.link.borrow();
@@ -116,14 +126,28 @@
         self.revision.get()
     }
 
-    /// Returns whether a message from it arrived recently and its link is open.
-    pub(super) fn is_live(&self, now: Time) -> bool {
-        now.since(self.last_received.get()) < LIVE_US && self.link().is_some()
+    /// Returns whether there is a link to it and its target accepts requests.
+    pub(super) fn is_open(&self) -> bool {
+        self.link().is_some() && self.view.borrow().report.open
+    }
+
+    /// Returns whether this node opened the link to it.
+    pub(super) fn opened_link(&self) -> bool {
+        self.link.borrow().as_ref().is_some_and(|link| link.opened)
     }
 
-    /// Returns whether it receives changes of the ruleset from the store.
-    pub(super) fn is_watching(&self) -> bool {
-        self.watching.get()
+    /// Stops to use the link, which stays open, and returns it.
+    pub(super) fn take_link(&self) -> Option<Connection> {
+        let link = self.link.borrow_mut().take();
+        self.link_changed.notify_waiters();
+        link.map(|link| link.connection)
+    }
+
+    /// Closes the link, if there is one.
+    pub(super) fn close_link(&self, reason: &[u8]) {
+        if let Some(link) = self.take_link() {
+            link.close(0u32.into(), reason);
+        }
     }
 
     /// Handles the hello that it sent on a new link. If there are two links now, returns the one
@@ -157,7 +181,6 @@
     pub(super) fn update_status(&self, now: Time, status: &Status) {
         self.record_received(now);
         self.revision.set(status.revision);
-        self.watching.set(status.followed);
         if status.leaving.is_some() {
             self.leaving.borrow_mut().clone_from(&status.leaving);
         }
@@ -216,9 +239,16 @@
         }
     }
 
-    /// Returns the number of other nodes that are known.
-    pub(super) fn len(&self) -> u32 {
-        self.peers.borrow().len() as u32
+    /// Returns a node by its name.
+    pub(super) fn find(&self, name: &str) -> Option<Rc<Peer>> {
+        let peers = self.peers.borrow();
+        let at = peers.binary_search_by(|peer| (*peer.node.borrow().name).cmp(name)).ok()?;
+        Some(peers[at].clone())
+    }
+
+    /// Returns the number of nodes to which a link is open.
+    pub(super) fn count_linked(&self) -> u32 {
+        self.peers.borrow().iter().filter(|peer| peer.link().is_some()).count() as u32
     }
 
     /// Removes a node. Does nothing if it is not known.
--- a/crates/sidecar/src/peers/exchange.rs
+++ b/crates/sidecar/src/peers/exchange.rs
@@ -71,6 +71,7 @@
         body: Bytes,
     ) -> Result<SentAttempt, Error> {
         let link = peer.link().ok_or(Error::NoLink)?;
+        peer.last_used.set(self.clock.now());
         let (send, receive) = link.open_bi().await.map_err(broken)?;
         let (peer, peers) = (peer.clone(), self.clone());
         let mut sent = SentAttempt { send, receive, peer, peers, finished: false };
@@ -117,7 +118,11 @@
                     (Outcome::NotRun { refusal, reached }, report)
                 }
                 Reply::Lost { detail, report } => (Outcome::Lost { detail }, report),
-                Reply::Noted | Reply::Ruleset(_) | Reply::Nodes(_) => {
+                Reply::Noted
+                | Reply::Ruleset(_)
+                | Reply::Nodes(_)
+                | Reply::Members { .. }
+                | Reply::Kept => {
                     return self.lost("the reply is of another kind".to_owned());
                 }
             };
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -3,7 +3,10 @@
 mod directory;
 mod exchange;
 mod links;
+mod membership;
 mod registry;
+mod reports;
+mod selection;
 mod serve;
 
 pub use directory::Peer;
--- a/crates/sidecar/src/peers/registry.rs
+++ b/crates/sidecar/src/peers/registry.rs
@@ -1,24 +1,37 @@
 //! How nodes find each other through the store.
 //!
-//! Each node writes a row of its own before it reads all rows. Of any two nodes, the one that wrote
-//! later therefore finds the other, and links to it. A node that restarts at the same address finds
-//! its row in the table and does not write it again.
+//! Each node writes a row of its own, and then reads the rows whose names follow its own, or the
+//! first ones of all if none does. Of the nodes with the same neighbours by name, the one that
+//! wrote later finds the other, so that the rows that were read connect all nodes. The whole list
+//! is then learned from peers. A node that restarts at the same address finds its row in the table
+//! and does not write it again.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::store::{Error, StoreClient};
+use platform::store::{Error, Row, StoreClient};
+use policy::{Health, Member};
 use rand::Rng;
+use serde::Deserialize;
+use world::Name;
 
 use crate::peers::links::Peers;
-use wire::link::Node;
 
 /// The table of nodes, with one row for each, by its name.
 const TABLE: &str = "nodes";
+/// Rows that a node reads at its start: enough that some of them are of live nodes after most were
+/// stopped.
+const ROWS: u32 = 24;
 /// The pause after a first failure of the store. It doubles with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The longest pause, so that a node is found within 2 s after the store recovers.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+/// How long a node waits before it reads the rows of others when the whole deployment starts for the
+/// first time: by then every node has written its own.
+const FIRST_READ_DELAY: Duration = Duration::from_millis(300);
+/// How often the node checks whether rows of nodes that are gone are to be removed.
+const REMOVAL_CHECK: Duration = Duration::from_secs(30);
 
 /// What is known of this node's own row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,18 +40,34 @@
     Unknown,
     /// It has to be written.
     Absent,
+    /// It has to be written, and no other row followed it by name.
+    AbsentLast,
     /// It was written since the node started.
     Written,
+    /// The same, and no other row followed it by name before.
+    WrittenLast,
+}
+
+/// The fields of a node's row. Rows of earlier versions have no service.
+#[derive(Deserialize)]
+struct NodeRow {
+    name: Name,
+    data_centre: Name,
+    address: SocketAddr,
+    started: u64,
+    #[serde(default)]
+    service: Option<Name>,
 }
 
 impl Peers {
-    /// Registers this node in the store and adds the other nodes, retrying until both succeeded.
+    /// Registers this node in the store and adds other nodes, retrying until both succeeded. Then
+    /// removes rows of nodes that are gone, for as long as the process runs.
     pub async fn join(self: Rc<Peers>, store: StoreClient) {
         let mut pause = RETRY_PAUSE;
         let mut state = if self.first_start { OwnRow::Absent } else { OwnRow::Unknown };
         loop {
             match self.step(&store, &mut state).await {
-                Ok(true) => return,
+                Ok(true) => break,
                 Ok(false) => {}
                 Err(error) => {
                     tracing::info!(%error, ?state, "registry: not joined yet");
@@ -48,39 +77,96 @@
                 }
             }
         }
+        loop {
+            tokio::time::sleep(REMOVAL_CHECK).await;
+            let gone = self.membership.members.borrow().rows_to_remove(self.clock.now());
+            for name in gone {
+                match remove_row(&store, &name).await {
+                    Ok(()) => tracing::info!(name = &*name, "registry: removed a row"),
+                    Err(error) => {
+                        tracing::info!(name = &*name, %error, "registry: cannot remove a row");
+                    }
+                }
+                self.membership.members.borrow_mut().row_removed(&name);
+            }
+        }
     }
 
-    /// Writes the own row if it has to be written, and reads all rows. Returns whether the node has
-    /// joined; otherwise its row was missing or outdated.
+    /// Writes the own row if it has to be written, and reads rows of other nodes. Returns whether
+    /// the node has joined; otherwise its row was missing or outdated.
     async fn step(
         self: &Rc<Peers>,
         store: &StoreClient,
         state: &mut OwnRow,
     ) -> Result<bool, Error> {
-        if *state == OwnRow::Absent {
-            let row = serde_json::to_vec(self.local_node())
+        let own = self.membership.members.borrow().local_member().clone();
+        if matches!(*state, OwnRow::Absent | OwnRow::AbsentLast) {
+            let row = serde_json::to_vec(&own)
                 .map_err(|error| Error::Unavailable { detail: error.to_string() })?;
-            store.put(TABLE, &self.local_node().name, &row).await?;
-            *state = OwnRow::Written;
+            store.put(TABLE, &own.name, &row).await?;
+            *state = match *state {
+                OwnRow::AbsentLast => OwnRow::WrittenLast,
+                _ => OwnRow::Written,
+            };
+            if self.first_start {
+                tokio::time::sleep(FIRST_READ_DELAY).await;
+            }
+        }
+        let is_other = |row: &Row| row.key != *own.name;
+        let mut rows = Vec::new();
+        if *state != OwnRow::WrittenLast {
+            rows = store.read_from(TABLE, &own.name, ROWS).await?.rows;
         }
-        let rows = store.read(TABLE).await?;
-        let nodes = rows.rows.iter().filter_map(decode).collect::<Vec<Node>>();
-        let is_own = |node: &&Node| node.name == self.local_node().name;
-        let own = nodes.iter().find(is_own).filter(|own| own.is_same_place(self.local_node()));
-        if *state == OwnRow::Unknown && own.is_none() {
-            *state = OwnRow::Absent;
+        let has_next = rows.iter().any(is_other);
+        if *state == OwnRow::Unknown && !rows.first().is_some_and(|row| is_same_place(row, &own)) {
+            *state = if has_next { OwnRow::Absent } else { OwnRow::AbsentLast };
             return Ok(false);
         }
-        self.set_joined();
-        tracing::info!(nodes = rows.rows.len(), revision = rows.version, "registry: joined");
-        nodes.iter().for_each(|node| self.add_node(node));
+        if !has_next {
+            rows = store.read_from(TABLE, "", ROWS).await?.rows;
+        }
+        if *state == OwnRow::WrittenLast && rows.len() >= ROWS as usize {
+            // Others may follow by name meanwhile.
+            rows.extend(store.read_from(TABLE, &own.name, ROWS).await?.rows);
+        }
+        tracing::info!(nodes = rows.len(), "registry: joined");
+        if !rows.iter().any(is_other) {
+            self.membership.set_alone();
+        }
+        let others = rows.iter().filter(|row| is_other(row));
+        self.merge_members(others.filter_map(decode).collect());
         Ok(true)
     }
 }
 
+/// Returns whether a row is of an earlier process of this node, reached at the same address.
+fn is_same_place(row: &Row, own: &Member) -> bool {
+    let place = |member: &Member| (member.data_centre.clone(), member.address);
+    row.key == *own.name && decode(row).is_some_and(|member| place(&member) == place(own))
+}
+
+/// Removes a row if it is still the one that was read.
+async fn remove_row(store: &StoreClient, name: &Name) -> Result<(), Error> {
+    let rows = store.read_from(TABLE, name, 1).await?.rows;
+    match rows.first().filter(|row| row.key == **name) {
+        Some(row) => store.remove(TABLE, name, row.version).await.map(|_| ()),
+        None => Ok(()),
+    }
+}
+
 /// Decodes a row. One that cannot be decoded is logged and skipped.
-fn decode(row: &platform::store::Row) -> Option<Node> {
-    let node = serde_json::from_slice(&row.value);
-    node.inspect_err(|error| tracing::warn!(key = row.key, %error, "registry: cannot decode a row"))
-        .ok()
+fn decode(row: &Row) -> Option<Member> {
+    let decoded: Result<NodeRow, _> = serde_json::from_slice(&row.value);
+    let decoded = decoded.inspect_err(
+        |error| tracing::warn!(key = row.key, %error, "registry: cannot decode a row"),
+    );
+    decoded.ok().map(|row| Member {
+        name: row.name,
+        data_centre: row.data_centre,
+        address: row.address,
+        service: row.service,
+        started: row.started,
+        incarnation: row.started,
+        health: Health::Alive,
+    })
 }
--- /dev/null
+++ b/crates/sidecar/src/peers/reports.rs
@@ -0,0 +1,95 @@
+//! The status that this node sends to the peers that it is linked to: at intervals, and at once when
+//! a change must not wait.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+use wire::link::{Datagram, Frame};
+
+use crate::peers::links::Peers;
+use crate::peers::membership::send_datagram;
+
+/// The least time between two status reports to every peer. Answers carry reports too, so these are
+/// for peers that send no requests here.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// The most time between two status reports.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between two status reports per link, so that the bytes sent per second do not grow with the
+/// number of links.
+const REPORT_INTERVAL_PER_PEER: Duration = Duration::from_millis(15);
+/// Peers to which a ruleset that a peer sent is passed on at once: with six, some 997 of 1,000
+/// nodes have it after a few hops.
+const FORWARD_PEERS: usize = 6;
+
+impl Peers {
+    /// Sends the status to every peer at intervals, for as long as the process runs.
+    pub(super) async fn send_reports(self: Rc<Peers>) {
+        loop {
+            let interval = REPORT_INTERVAL_PER_PEER * self.directory.count_linked();
+            tokio::time::sleep(interval.clamp(MIN_REPORT_INTERVAL, MAX_REPORT_INTERVAL)).await;
+            self.update_service_strain();
+            let status = self.guard.status();
+            self.own_view.borrow_mut().reported(self.clock.now(), status.report);
+            let Ok(datagram) = wire::encode(&Datagram::Status(Box::new(status))) else { continue };
+            let datagram = bytes::Bytes::from(datagram);
+            let watchers = self.watchers_datagram();
+            self.directory.for_each(|peer| {
+                // A report may get lost like any datagram, and the next one replaces it.
+                send_datagram(peer, &datagram);
+                if let Some(watchers) = &watchers
+                    && self.is_same_data_centre(&peer.data_centre())
+                {
+                    send_datagram(peer, watchers);
+                }
+            });
+        }
+    }
+
+    /// Passes the strain of the peers' targets of the same service to the guard.
+    fn update_service_strain(&self) {
+        let Some(service) = self.guard.service() else { return };
+        let mut strains = Vec::new();
+        self.directory.for_each(|peer| {
+            if peer.serves(&service) {
+                let strain = peer.view.borrow().report.strain;
+                strains.extend((strain > 0).then(|| f64::from(strain) / 100.0));
+            }
+        });
+        self.guard.update_service_strain(strains.into_iter());
+    }
+
+    /// Sends the status at once when a change must not wait for the next report: to every linked
+    /// peer if the target changed or this node got a new ruleset from the store, and to a few if it
+    /// got the ruleset from a peer, who all pass it on. The others learn of it from a report.
+    pub(super) async fn send_changes(self: Rc<Peers>) {
+        let mut target = self.guard.subscribe();
+        let mut revision = self.rules.subscribe();
+        loop {
+            let to_all = tokio::select! {
+                _ = target.changed() => true,
+                _ = revision.changed() => {
+                    self.guard.ruleset_changed();
+                    self.rules.is_watching()
+                }
+            };
+            let status = self.guard.status();
+            self.own_view.borrow_mut().reported(self.clock.now(), status.report);
+            let frame = Rc::new(Frame::Status(Box::new(status)));
+            let mut receivers = self.directory.all();
+            receivers.retain(|peer| peer.link().is_some());
+            if !to_all {
+                receivers.shuffle(&mut rand::rng());
+                receivers.truncate(FORWARD_PEERS);
+            }
+            for peer in receivers {
+                let (peers, frame) = (self.clone(), frame.clone());
+                tokio::task::spawn_local(async move {
+                    if let Err(error) = peers.request(&peer, &frame).await {
+                        tracing::debug!(%error, "peers: cannot send a changed status");
+                    }
+                });
+            }
+        }
+    }
+}
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -43,7 +43,8 @@
     let frame: Frame = wire::read(&mut receive).await.map_err(|error| error.to_string())?;
     let Frame::Hello(hello) = frame else { return Err("no hello".to_owned()) };
     let by_lower = hello.node.name < peers.local_node().name;
-    let peer = peers.handle_hello(&hello, Link { connection: link.clone(), by_lower });
+    let accepted = Link { connection: link.clone(), by_lower, opened: false };
+    let peer = peers.handle_hello(&hello, accepted);
     let answer = peers.hello(Some(&peer));
     wire::write(&mut send, &answer).await.map_err(|error| error.to_string())?;
     let _ = send.finish();
@@ -67,6 +68,11 @@
     while let Ok(datagram) = link.read_datagram().await {
         match wire::decode(&datagram) {
             Ok(Datagram::Status(status)) => peers.handle_status(&peer, &status),
+            Ok(Datagram::Member(message)) => {
+                peer.record_received(peers.now());
+                peers.handle_member_message(*message);
+            }
+            Ok(Datagram::Watchers(watchers)) => peers.handle_watchers(&peer, &watchers),
             Err(error) => tracing::warn!(%error, "peers: cannot decode a datagram"),
         }
     }
@@ -87,7 +93,10 @@
         }
     };
     let reply = match frame {
-        Frame::Attempt(attempt) => return run_attempt(&peers, *attempt, send, receive).await,
+        Frame::Attempt(attempt) => {
+            peer.last_used.set(peers.now());
+            return run_attempt(&peers, *attempt, send, receive).await;
+        }
         Frame::Status(status) => {
             peers.handle_status(&peer, &status);
             Reply::Noted
@@ -97,6 +106,12 @@
             Reply::Ruleset(rules.map(|rules| Box::new((*rules).clone())))
         }
         Frame::FetchNodes => Reply::Nodes(peers.nodes()),
+        Frame::Sync(summary) => peers.differing_members(&summary),
+        Frame::Members(members) => {
+            peers.merge_members(members);
+            Reply::Noted
+        }
+        Frame::Release => peers.handle_release(&peer),
         Frame::Hello(_) => return,
     };
     if let Err(error) = wire::write(&mut send, &reply).await {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -106,6 +106,7 @@
 struct RunningNode {
     entry: Rc<Entry>,
     guard: Rc<Guard>,
+    peers: Rc<Peers>,
     callers: CallerServer,
 }
 
@@ -148,7 +149,12 @@
     let link = SocketAddr::new(settings.ip, settings.port_range.0);
     let address = args.advertise.unwrap_or(link);
     let node = Node { name: settings.name.clone(), data_centre, address, started: wall_ms() };
-    let peer_settings = peers::PeerSettings { node, bind: link, first_start: settings.first_start };
+    let peer_settings = peers::PeerSettings {
+        node,
+        bind: link,
+        service: settings.service.clone(),
+        first_start: settings.first_start,
+    };
     let peers =
         Peers::spawn(peer_settings, clock, ruleset.clone(), guard.clone(), metrics.clone())?;
     let entry = Entry::new(
@@ -164,7 +170,7 @@
     let watcher = peers.clone();
     let should_watch = move || watcher.should_watch();
     tokio::task::spawn_local(configuration::watch_table(store, ruleset, should_watch));
-    tokio::task::spawn_local(peers.join(store));
+    tokio::task::spawn_local(peers.clone().join(store));
     tokio::task::spawn_local(guard.clone().run_timers());
     let search =
         guard::find_target(guard.clone(), settings.target_address, settings.service.clone());
@@ -183,7 +189,7 @@
         version = env!("CARGO_PKG_VERSION"),
         "node: started"
     );
-    Ok(RunningNode { entry, guard, callers })
+    Ok(RunningNode { entry, guard, peers, callers })
 }
 
 fn retry_bound(settings: &Settings) -> RetryBound {
@@ -223,11 +229,12 @@
 
 /// Refuses new requests step by step, waits for those that run, and returns within `grace`.
 async fn drain(node: &RunningNode, grace: Duration) {
-    let RunningNode { entry, guard, callers } = node;
+    let RunningNode { entry, guard, peers, callers } = node;
     let begun = tokio::time::Instant::now();
     tracing::info!(entry = entry.pending(), guard = guard.pending(), "node: draining");
     entry.drain();
     guard.announce_drain();
+    peers.leave();
     tokio::time::sleep(DRAIN_NOTICE).await;
     guard.drain();
     tokio::time::sleep_until(begun + KEEP_ACCEPTING).await;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use policy::{Refusal, Report};
+use policy::{Member, MemberMessage, Refusal, Report, Watcher};
 use serde::{Deserialize, Serialize};
 use world::{Name, Ruleset};
 
@@ -111,13 +111,26 @@
     Fetch,
     /// Asks for every node that the receiver knows. Answered by [`Reply::Nodes`].
     FetchNodes,
+    /// Compares member lists by the digests of their buckets (anti-entropy). Answered by
+    /// [`Reply::Members`].
+    Sync(Vec<u64>),
+    /// Sends members that the receiver does not know, after a comparison. Answered by
+    /// [`Reply::Noted`].
+    Members(Vec<Member>),
+    /// Asks to close this link, which the sender does not need. Answered by [`Reply::Noted`], or by
+    /// [`Reply::Kept`] if the receiver needs it.
+    Release,
 }
 
 /// A message that is sent as a datagram and not answered.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
     /// Reports the sender's current state.
     Status(Box<Status>),
+    /// Carries a membership message. Any answer is a datagram of its own.
+    Member(Box<MemberMessage>),
+    /// Passes on which nodes of the sender's data centre watch the operator's table.
+    Watchers(Vec<Watcher>),
 }
 
 /// An answer to a [`Frame`].
@@ -160,4 +173,13 @@
     Ruleset(Option<Box<Ruleset>>),
     /// Answers [`Frame::FetchNodes`].
     Nodes(Vec<Node>),
+    /// Answers [`Frame::Sync`] with the members of the buckets whose digests differ.
+    Members {
+        /// The digests of the answering node, one for each bucket.
+        summary: Vec<u64>,
+        /// What the answering node knows of these members.
+        members: Vec<Member>,
+    },
+    /// Answers [`Frame::Release`] if the link is still needed.
+    Kept,
 }
