Answer requests on connections accepted just before a planned stop

Cause: when the node stopped to accept, connections in the listener's queue were reset, and a connection that had just been accepted was closed before its first request could arrive.

Change: the queue is emptied before the listener is closed, and a connection without a request is kept for 300 ms after it was accepted.

--- a/crates/sidecar/src/entry/callers.rs
+++ b/crates/sidecar/src/entry/callers.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::header::{self, HeaderValue};
 use http::request::Parts;
 use http::{HeaderMap, Request, StatusCode};
@@ -20,6 +21,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use world::{Code, Repeat};
 
 use crate::entry::pipeline::Pipeline;
@@ -43,6 +45,9 @@
 const DEFAULT_BODY_BYTES: u64 = 64 * 1024 * 1024;
 /// How long the node waits for the caller to close a connection that the node has shut down.
 const LINGER: Duration = Duration::from_secs(1);
+/// How long a caller whose connection was accepted just before the node stops to accept has to send
+/// its first request.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(300);
 /// How often a connection that is to be closed is checked for pipelined requests that are left.
 const CLOSE_CHECK: Duration = Duration::from_millis(10);
 /// The longest wait for a body if the caller sets no timeout.
@@ -56,24 +61,22 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
-/// The running server. Closing it ends idle connections at once, and others after their response.
+/// The running server. Closing it ends idle connections, and others after their response.
 #[derive(Debug)]
 pub struct CallerServer {
     closing: watch::Sender<bool>,
-    accepting: JoinHandle<()>,
 }
 
 impl CallerServer {
     /// Starts to serve the connections of a listener.
     pub fn spawn(listener: TcpListener, entry: Rc<Entry>) -> CallerServer {
         let (closing, closed) = watch::channel(false);
-        let accepting = tokio::task::spawn_local(accept(listener, entry, closed));
-        CallerServer { closing, accepting }
+        tokio::task::spawn_local(accept(listener, entry, closed));
+        CallerServer { closing }
     }
 
     /// Accepts no more connections, and begins to close those that are open.
     pub fn close(&self) {
-        self.accepting.abort();
         self.closing.send_replace(true);
     }
 
@@ -84,18 +87,28 @@
 }
 
 async fn accept(listener: TcpListener, entry: Rc<Entry>, closing: watch::Receiver<bool>) {
+    let start = |stream| {
+        tokio::task::spawn_local(serve(stream, entry.clone(), closing.clone()));
+    };
+    let mut closed = closing.clone();
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let serve = serve(stream, entry.clone(), closing.clone());
-                tokio::task::spawn_local(serve);
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // An error means that the server was dropped, so the process is about to end.
+            _ = closed.wait_for(|closing| *closing) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => start(stream),
             Err(error) => {
                 tracing::warn!(%error, "callers: cannot accept a connection");
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
         }
     }
+    // Closing the listener resets the connections that wait to be accepted.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        start(stream);
+    }
 }
 
 async fn serve(stream: TcpStream, entry: Rc<Entry>, mut closing: watch::Receiver<bool>) {
@@ -103,6 +116,7 @@
         tracing::debug!(%error, "callers: a connection failed before its first request");
         return;
     }
+    let accepted = Instant::now();
     let pipeline = Rc::new(RefCell::new(Pipeline::default()));
     let stream = {
         let (entry, pipeline) = (entry.clone(), pipeline.clone());
@@ -141,7 +155,7 @@
         ended = connection.as_mut() => ended,
         // The caller has closed the connection. Dropping it cancels the requests on it.
         () = stream.read_until_closed() => return,
-        () = wait_for_close(&mut closing, &pipeline) => {
+        () = wait_for_close(&mut closing, &pipeline, accepted) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -155,11 +169,20 @@
 }
 
 /// Waits until the server is closing and no request that was started early is left on the
-/// connection.
-async fn wait_for_close(closing: &mut watch::Receiver<bool>, pipeline: &RefCell<Pipeline>) {
+/// connection, nor a first request that the caller may still send.
+async fn wait_for_close(
+    closing: &mut watch::Receiver<bool>,
+    pipeline: &RefCell<Pipeline>,
+    accepted: Instant,
+) {
     // An error means that the server was dropped, so the process is about to end.
     let _ = closing.wait_for(|closing| *closing).await;
-    while pipeline.borrow().has_early_requests() {
+    let is_due = || {
+        let pipeline = pipeline.borrow();
+        let is_new = pipeline.is_unused() && accepted.elapsed() < FIRST_REQUEST_WAIT;
+        !is_new && !pipeline.has_early_requests()
+    };
+    while !is_due() {
         tokio::time::sleep(CLOSE_CHECK).await;
     }
 }
--- a/crates/sidecar/src/entry/pipeline.rs
+++ b/crates/sidecar/src/entry/pipeline.rs
@@ -111,6 +111,11 @@
         if is_next { self.started.pop_front() } else { None }
     }
 
+    /// Returns whether no request has arrived yet.
+    pub fn is_unused(&self) -> bool {
+        self.begun == 0
+    }
+
     /// Records that the server answered a request.
     pub fn record_answer(&mut self) {
         self.answered += 1;
--- a/crates/sidecar/tests/drains.rs
+++ b/crates/sidecar/tests/drains.rs
@@ -1,6 +1,8 @@
 //! Draining: a node that is asked to stop finishes its requests, gets no new ones, and exits in
 //! time.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use standin::caller::{Caller, TestRequest};
@@ -121,3 +123,71 @@
     assert_eq!((answer.status, deployment.run_count("after")), (503, 0));
     assert!(deployment.vms[1].exits_within(GRACE).await);
 }
+
+#[tokio::test]
+async fn requests_on_connections_accepted_just_before_the_stop_are_answered() {
+    let mut deployment = started_deployment().await;
+    let address = deployment.vms[0].caller_address();
+    let stopped = Arc::new(AtomicBool::new(false));
+    // Callers that connect again and again, so that some connections are accepted, or wait to be
+    // accepted, at the moment at which the node stops to accept.
+    let callers: Vec<_> = (0..40)
+        .map(|caller| {
+            let stopped = stopped.clone();
+            tokio::spawn(async move {
+                let mut cut = 0;
+                for number in 0.. {
+                    let id = format!("stop-{caller}-{number}");
+                    let request =
+                        TestRequest { id: &id, behaviour: "work=20", ..Default::default() };
+                    let Ok(mut connection) = Caller::connect(address).await else { break };
+                    if connection.send(&request.bytes()).await.is_err() {
+                        break;
+                    }
+                    cut += usize::from(connection.receive().await.is_none());
+                    if stopped.load(Ordering::SeqCst) {
+                        break;
+                    }
+                }
+                cut
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    deployment.vms[0].terminate().await;
+    assert!(deployment.vms[0].exits_within(GRACE).await);
+    stopped.store(true, Ordering::SeqCst);
+    let mut cut = 0;
+    for caller in callers {
+        cut += caller.await.unwrap();
+    }
+    assert_eq!(cut, 0, "{cut} requests were sent and got no answer");
+}
+
+#[tokio::test]
+async fn a_connection_accepted_just_before_the_stop_can_still_send_its_request() {
+    let mut deployment = started_deployment().await;
+    let address = deployment.vms[0].caller_address();
+    deployment.vms[0].terminate().await;
+    // The node stops to accept 2.5 s after the signal. Each caller sends its request a moment after
+    // it has connected.
+    tokio::time::sleep(Duration::from_millis(2_350)).await;
+    let mut callers = Vec::new();
+    for number in 0..60 {
+        tokio::time::sleep(Duration::from_millis(4)).await;
+        let Ok(mut caller) = Caller::connect(address).await else { break };
+        callers.push(tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(40)).await;
+            let id = format!("accepted-{number}");
+            let request = TestRequest { id: &id, path: "/once/x", ..TestRequest::default() };
+            caller.send_request(&request).await.is_some()
+        }));
+    }
+    assert!(callers.len() < 60, "the node still accepts connections");
+    let mut cut = 0;
+    for caller in callers {
+        cut += usize::from(!caller.await.unwrap());
+    }
+    assert_eq!(cut, 0, "{cut} requests on accepted connections got no answer");
+    assert!(deployment.vms[0].exits_within(GRACE).await);
+}
