Bound what a target can send that is no answer, in bytes and in time

Cause: bodies without end were read up to 20 MB for each request, so that eight of them took a node to 175 MB of the 160 that the smallest VMs have (test an_answer_without_end_is_given_up_in_time_and_within_the_memory, failed first), and informational heads in a row kept the process busy past the deadline (1.52 s for a deadline of 1 s).

An answer with a request's id is not taken for that to a health check. A heartbeat of a service that neither the settings nor the ruleset name is rejected (test failed first: it replaced the target).

Measured: the test holds for heads, informational heads, bodies, chunks, chunk lines and trailers; second copies of answers at four moments reach no other caller (that held before too).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod bucket;
+mod bytes;
 mod call;
 mod choice;
 mod entry;
@@ -32,6 +33,7 @@
 
 pub use admission::{Admission, Decision, Refusal, SlotRequest};
 pub use bucket::TokenBucket;
+pub use bytes::ByteBudget;
 pub use call::{AttemptError, CallSpec, CallState, Step};
 pub use choice::{Candidate, Report, RequestEstimate, TargetView, choose};
 pub use entry::Entry;
--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -1,11 +1,12 @@
 //! Runs one attempt of a request at the target.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::headers;
 use policy::{Refusal, Time};
@@ -16,8 +17,9 @@
 
 /// Connections that are tried before a request that none of them accepted is refused.
 const MAX_CONNECTIONS: usize = 3;
-/// The longest body of an answer: an eighth of the memory that the smallest VMs give a node.
-const MAX_ANSWER_BYTES: usize = 20_000_000;
+
+/// How long a target that answered early may take to read the rest of the request.
+const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A complete answer of a target, from this VM or received from a peer.
 #[derive(Clone, Debug)]
@@ -181,7 +183,7 @@
         let mut detail = String::new();
         for _ in 0..MAX_CONNECTIONS {
             let mut connection = self.acquire_connection(target).await?;
-            match connection.try_send_request(request).await {
+            match connection.send(request).await {
                 Ok(response) => return self.receive(attempt, response, connection).await,
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) => {
@@ -230,8 +232,7 @@
         if !is_ours {
             return Err(Failure::Broken("an answer to another request".to_owned()));
         }
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|error| Failure::Broken(format!("the answer is cut: {error}")))?;
+        let body = self.bodies.read(body).await.map_err(Failure::Broken)?;
         let until = pool::idle_until(now, &head.headers);
         if connection.is_ready() {
             self.pool.put(connection, until);
@@ -239,12 +240,12 @@
             // The target may not have read the rest of the request's body yet.
             let pool = self.pool.clone();
             tokio::task::spawn_local(async move {
-                if connection.ready().await.is_ok() {
+                let ready = tokio::time::timeout(BODY_READ_TIMEOUT, connection.ready()).await;
+                if matches!(ready, Ok(Ok(()))) {
                     pool.put(connection, until);
                 }
             });
         }
-        let body = body.to_bytes();
         Ok(Answer { status: head.status, headers: head.headers, body, took_us: 0 })
     }
 
--- a/crates/sidecar/src/guard/mod.rs
+++ b/crates/sidecar/src/guard/mod.rs
@@ -1,11 +1,13 @@
 //! The guard: admits requests to the target on this VM, runs them there, and checks its health.
 
 mod attempt;
+mod bodies;
 mod incarnations;
 mod pool;
 mod probe;
 mod state;
 
 pub use attempt::{Answer, Outcome};
+pub use bodies::BodyMemory;
 pub use probe::find_target;
 pub use state::Guard;
--- a/crates/sidecar/src/guard/pool.rs
+++ b/crates/sidecar/src/guard/pool.rs
@@ -2,17 +2,25 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::Display;
-use http::HeaderMap;
+use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use policy::Time;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// The longest wait for a connection. The target is on the same VM.
@@ -30,8 +38,102 @@
 /// one may be closed at any time.
 const CLOSED_BY_RESTART: usize = 2;
 
+/// The most bytes that a target may send before the head of its answer is complete, informational
+/// answers included. What was read with the end of the head counts too, up to a whole buffer.
+const MAX_HEAD_BYTES: usize = 4 * MAX_BUFFER_BYTES;
+
 /// An HTTP/1 connection to the target, which carries one request at a time.
-pub type Connection = SendRequest<Full<Bytes>>;
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Bytes that may still be read before the head of the answer is complete.
+    head_bytes: Arc<AtomicUsize>,
+}
+
+impl Connection {
+    /// Sends a request and returns its answer, whose body is still to be read. The error holds the
+    /// request if it was certainly not sent.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head_bytes.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+        let answer = self.sender.try_send_request(request).await;
+        self.head_bytes.store(usize::MAX, Ordering::Relaxed);
+        answer
+    }
+
+    /// Returns whether it can take a request at once.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Returns whether it is closed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Waits until it can take a request. Fails if it is closed.
+    pub async fn ready(&mut self) -> Result<(), hyper::Error> {
+        self.sender.ready().await
+    }
+}
+
+/// A stream that fails when more bytes arrive before the head of an answer than a head may have.
+struct HeadLimited {
+    stream: TcpStream,
+    head_bytes: Arc<AtomicUsize>,
+}
+
+impl AsyncRead for HeadLimited {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        out: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = out.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, out))?;
+        let count = out.filled().len() - before;
+        let left = self.head_bytes.load(Ordering::Relaxed);
+        if left == usize::MAX {
+            return Poll::Ready(Ok(()));
+        }
+        if count > left {
+            return Poll::Ready(Err(io::Error::other("the head of the answer is too long")));
+        }
+        self.head_bytes.store(left - count, Ordering::Relaxed);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for HeadLimited {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
 
 /// The target closed several idle connections before they expired, and none is left.
 #[derive(Clone, Copy, Debug, Display, derive_more::Error)]
@@ -84,15 +186,17 @@
 }
 
 /// Opens a connection, and fails if that takes longer than a second.
-pub async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
+pub async fn connect(address: SocketAddr) -> io::Result<Connection> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = stream.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
+    let head_bytes = Arc::new(AtomicUsize::new(usize::MAX));
+    let stream = HeadLimited { stream, head_bytes: head_bytes.clone() };
     let handshake = Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream));
-    let (mut sender, connection) = handshake.await.map_err(std::io::Error::other)?;
+    let (mut sender, connection) = handshake.await.map_err(io::Error::other)?;
     tokio::spawn(connection);
-    sender.ready().await.map_err(std::io::Error::other)?;
-    Ok(sender)
+    sender.ready().await.map_err(io::Error::other)?;
+    Ok(Connection { sender, head_bytes })
 }
 
 /// Returns until when a connection may be idle after an answer with these headers, by the timeout
--- a/crates/sidecar/src/guard/probe.rs
+++ b/crates/sidecar/src/guard/probe.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::response::Parts as Head;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use platform::headers;
 use world::Name;
 
@@ -23,6 +23,8 @@
 /// The longest wait for an answer that reports the VM's slowness. It usually arrives within 2 ms,
 /// and requests wait for it.
 const SLOWNESS_TIMEOUT: Duration = Duration::from_millis(40);
+/// The longest body of an answer to a health check.
+const MAX_BODY_BYTES: usize = 64 * 1024;
 /// The pause before a target that was not found is probed again.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -102,9 +104,13 @@
     };
     let request = health_request(guard, target.address, &target.service)?;
     guard.metrics.probes.inc();
-    let answer = connection.send_request(request).await.map_err(std::io::Error::other)?;
+    let answer = connection.send(request).await;
+    let answer = answer.map_err(|failed| std::io::Error::other(failed.into_error()))?;
     let (head, body) = answer.into_parts();
-    body.collect().await.map_err(std::io::Error::other)?;
+    if head.headers.contains_key(headers::REQUEST_ID) {
+        return Err(std::io::Error::other("the answer to an earlier request"));
+    }
+    Limited::new(body, MAX_BODY_BYTES).collect().await.map_err(std::io::Error::other)?;
     if connection.is_ready() {
         let until = pool::idle_until(guard.clock.now(), &head.headers);
         guard.pool.put(connection, until);
@@ -160,7 +166,7 @@
     let mut connection = pool::connect(address).await?;
     let request = health_request(guard, address, service)?;
     guard.metrics.probes.inc();
-    let answer = tokio::time::timeout(PROBE_TIMEOUT, connection.send_request(request)).await;
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, connection.send(request)).await;
     Ok(answer.ok().and_then(Result::ok).map(|answer| answer.into_parts().0))
 }
 
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -10,9 +10,10 @@
 use runtime::{Clock, wall_ms};
 use tokio::sync::{Notify, oneshot, watch};
 use wire::link::{Attempt, Life, Status};
-use world::Name;
+use world::{Name, Ruleset};
 
 use crate::configuration::ActiveRuleset;
+use crate::guard::bodies::BodyMemory;
 use crate::guard::incarnations::{HeartbeatKind, Incarnations};
 use crate::guard::pool::Pool;
 use crate::guard::probe;
@@ -77,8 +78,12 @@
     pub(super) clock: Clock,
     pub(super) rules: Rc<ActiveRuleset>,
     pub(super) pool: Pool,
+    /// The memory for bodies of answers, of this target and of others.
+    pub bodies: BodyMemory,
     pub(super) metrics: Rc<Metrics>,
     data_centre: Name,
+    /// The service of this VM by its settings.
+    vm_service: Name,
     warmup_limits: Cell<WarmupLimits>,
     /// Whether the node will drain soon, and reports its target as closed already.
     drain_announced: Cell<bool>,
@@ -96,22 +101,27 @@
 }
 
 impl Guard {
-    /// Returns the guard of a VM whose target is not known yet.
+    /// Returns the guard of a VM whose target is not known yet. `place` is the VM's data centre and
+    /// service.
     pub fn open(
         clock: Clock,
         rules: Rc<ActiveRuleset>,
         metrics: Rc<Metrics>,
-        data_centre: Name,
+        place: (Name, Name),
         warmup_limits: WarmupLimits,
+        bodies: BodyMemory,
     ) -> Rc<Guard> {
+        let (data_centre, vm_service) = place;
         let (changes, _) = watch::channel(0);
         Rc::new(Guard {
             state: RefCell::default(),
             clock,
             rules,
             pool: Pool::default(),
+            bodies,
             metrics,
             data_centre,
+            vm_service,
             warmup_limits: Cell::new(warmup_limits),
             drain_announced: Cell::new(false),
             was_out: Cell::new(false),
@@ -219,10 +229,26 @@
         self.warmup_limits.set(limits);
     }
 
+    /// Returns whether a service is the VM's or one of the ruleset's, or whether there is no ruleset
+    /// yet.
+    fn is_known_service(&self, service: &str) -> bool {
+        let has_it = |rules: Rc<Ruleset>| rules.routing.service(service).is_some();
+        *self.vm_service == *service || self.rules.current().is_none_or(has_it)
+    }
+
     /// Handles a heartbeat of the target: records the target, its slots, and whether it is cold or
-    /// leaves. A stale heartbeat is ignored.
-    pub fn heartbeat(self: &Rc<Guard>, heartbeat: Heartbeat) {
+    /// leaves. A stale heartbeat is ignored. Returns false if it names a service that the ruleset
+    /// does not have, so that it is not from a target that can be used.
+    pub fn heartbeat(self: &Rc<Guard>, heartbeat: Heartbeat) -> bool {
         let now = self.clock.now();
+        if !self.is_known_service(&heartbeat.service) {
+            tracing::warn!(
+                id = &*heartbeat.id,
+                service = &*heartbeat.service,
+                "target: a heartbeat names an unknown service"
+            );
+            return false;
+        }
         let life = Life { id: heartbeat.id.clone(), born: heartbeat.born };
         let mut state = self.state.borrow_mut();
         let kind = state.incarnations.record_heartbeat(&heartbeat);
@@ -232,7 +258,7 @@
                 sequence = heartbeat.sequence,
                 "target: stale heartbeat ignored"
             );
-            return;
+            return true;
         }
         let before = (state.target.as_ref().map(|target| target.address), state.target_refusal);
         if kind == HeartbeatKind::New {
@@ -276,6 +302,7 @@
             self.update_queue();
             self.notify_peers();
         }
+        true
     }
 
     /// Records a target that answered a health check before any heartbeat arrived. Does nothing if
--- a/crates/sidecar/src/local_http.rs
+++ b/crates/sidecar/src/local_http.rs
@@ -50,7 +50,11 @@
             return response(StatusCode::BAD_REQUEST, "");
         };
         match heartbeat::decode(&path, &body.to_bytes()) {
-            Ok(TargetCall::Heartbeat(report)) => guard.heartbeat(report),
+            Ok(TargetCall::Heartbeat(report)) => {
+                if !guard.heartbeat(report) {
+                    return response(StatusCode::BAD_REQUEST, "");
+                }
+            }
             Ok(TargetCall::Deregister { id, born }) => guard.deregister(id, born),
             Err(error) => {
                 tracing::warn!(path, %error, "target: a call was rejected");
--- a/crates/sidecar/src/peers/exchange.rs
+++ b/crates/sidecar/src/peers/exchange.rs
@@ -161,6 +161,9 @@
     /// Reads the body that follows an answer's frame.
     async fn read_body(&mut self, length: u64) -> Result<Bytes, String> {
         let length = usize::try_from(length).map_err(|error| error.to_string())?;
+        let Some(_held) = self.peers.guard.bodies.hold(length) else {
+            return Err("the answer is longer than the node can hold".to_owned());
+        };
         let body = self.receive.read_to_end(length).await.map_err(|error| error.to_string())?;
         match body.len() == length {
             true => Ok(body.into()),
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -18,7 +18,7 @@
 
 use crate::configuration::{self, ActiveRuleset};
 use crate::entry::{self, CallerServer, Entry};
-use crate::guard::{self, Guard};
+use crate::guard::{self, BodyMemory, Guard};
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
 use crate::{local_http, logs};
@@ -144,8 +144,14 @@
     let readiness = entry::bind(settings.readiness_address)?;
     let control = entry::bind(settings.control_address)?;
     let data_centre = settings.data_centre.clone();
-    let guard =
-        Guard::open(clock, ruleset.clone(), metrics.clone(), data_centre.clone(), settings.warmup);
+    let guard = Guard::open(
+        clock,
+        ruleset.clone(),
+        metrics.clone(),
+        (data_centre.clone(), settings.service.clone()),
+        settings.warmup,
+        BodyMemory::new(settings.memory_bytes),
+    );
     let link = SocketAddr::new(settings.ip, settings.port_range.0);
     let address = args.advertise.unwrap_or(link);
     let node = Node { name: settings.name.clone(), data_centre, address, started: wall_ms() };
