Survive malformed and extreme messages on every socket

Cause: looked for with a test of each socket. A row of the registry that cannot be read counted as a neighbour, so that a node behind it found no peer after a restart (test rows_that_cannot_be_read_are_ignored, failed first). A claim with the highest incarnation would have overflowed it.

Change: only rows that can be read count; a node without a link 1.5 s after it joined reads further rows, since the first ones may be of nodes that are down together; incarnations saturate.

--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -147,7 +147,7 @@
             return Vec::new();
         }
         self.local.service = service;
-        self.local.incarnation += 1;
+        self.local.incarnation = self.local.incarnation.saturating_add(1);
         self.notify_fingers()
     }
 
@@ -455,7 +455,7 @@
         if agrees || claim.incarnation < self.local.incarnation {
             return;
         }
-        self.local.incarnation = claim.incarnation + 1;
+        self.local.incarnation = claim.incarnation.saturating_add(1);
         let notifications = self.notify_fingers();
         self.actions.extend(notifications);
     }
--- a/crates/policy/src/subset.rs
+++ b/crates/policy/src/subset.rs
@@ -34,8 +34,8 @@
 /// Returns the indices of the targets of one service that an entry links to, in ascending order.
 pub fn select_subset(entry: &str, candidates: &[LinkCandidate<'_>]) -> Vec<usize> {
     let most = match candidates.len() {
-        ..=SMALL_SERVICE => return (0..candidates.len()).collect(),
-        ..FEW_TARGETS => TARGETS_OF_FEW,
+        count if count <= SMALL_SERVICE => return (0..count).collect(),
+        count if count < FEW_TARGETS => TARGETS_OF_FEW,
         _ => TARGETS,
     };
     let seed = xxh3_64(entry.as_bytes());
@@ -52,6 +52,7 @@
     chosen
 }
 
+/// Returns how many items of a list are usable.
 fn usable(candidates: &[LinkCandidate<'_>], list: &[usize]) -> usize {
     list.iter().filter(|at| candidates[**at].usable).count()
 }
--- a/crates/policy/tests/watch.rs
+++ b/crates/policy/tests/watch.rs
@@ -11,7 +11,6 @@
 const LINKS: usize = 4;
 
 struct Node {
-    name: Name,
     watchers: Watchers,
     tries: bool,
     /// Whether the store answers it.
@@ -29,8 +28,8 @@
     fn open(count: usize) -> DataCentre {
         let node = |at: usize| {
             let name: Name = format!("vm-{at:03}").into();
-            let watchers = Watchers::new(Time(0), name.clone());
-            Node { name, watchers, tries: false, answered: true, alive: true }
+            let watchers = Watchers::new(Time(0), name);
+            Node { watchers, tries: false, answered: true, alive: true }
         };
         DataCentre { nodes: (0..count).map(node).collect(), now: Time(0) }
     }
@@ -47,7 +46,7 @@
             node.tries = node.watchers.should_watch(self.now, node.tries, rank);
             let own = (node.tries && node.answered).then_some(7);
             let changed = node.watchers.set_own(self.now, own);
-            if changed || (self.now.0 / MS + at as u64 * 100) % REPORT_MS == 0 {
+            if changed || (self.now.0 / MS + at as u64 * 100).is_multiple_of(REPORT_MS) {
                 self.pass_on(at);
             }
         }
@@ -144,7 +143,7 @@
     for Case { received, confirms } in cases {
         let now = Time(60_000 * MS);
         let mut watchers = Watchers::new(now, "vm-0".into());
-        watchers.merge(now, &[received.clone()]);
+        watchers.merge(now, std::slice::from_ref(&received));
         assert_eq!(watchers.confirms(now, 5), confirms, "{received:?}");
     }
 }
--- a/crates/sidecar/src/peers/directory.rs
+++ b/crates/sidecar/src/peers/directory.rs
@@ -246,6 +246,11 @@
         Some(peers[at].clone())
     }
 
+    /// Returns whether a link to any node is open.
+    pub(super) fn is_linked(&self) -> bool {
+        self.peers.borrow().iter().any(|peer| peer.link().is_some())
+    }
+
     /// Removes a node. Does nothing if it is not known.
     pub(super) fn remove(&self, name: &str) {
         self.peers.borrow_mut().retain(|peer| !peer.has_name(name));
--- a/crates/sidecar/src/peers/registry.rs
+++ b/crates/sidecar/src/peers/registry.rs
@@ -30,6 +30,8 @@
 /// How long a node waits before it reads the rows of others when the whole deployment starts for the
 /// first time: by then every node has written its own.
 const FIRST_READ_DELAY: Duration = Duration::from_millis(300);
+/// How long a node waits for a first link before it reads further rows.
+const LINK_WAIT: Duration = Duration::from_millis(1_500);
 /// How often the node checks whether rows of nodes that are gone are to be removed.
 const REMOVAL_CHECK: Duration = Duration::from_secs(30);
 
@@ -77,6 +79,9 @@
                 }
             }
         }
+        if let Err(error) = self.find_linked(&store).await {
+            tracing::info!(%error, "registry: cannot read further rows");
+        }
         loop {
             tokio::time::sleep(REMOVAL_CHECK).await;
             let gone = self.membership.members.borrow().rows_to_remove(self.clock.now());
@@ -112,7 +117,7 @@
                 tokio::time::sleep(FIRST_READ_DELAY).await;
             }
         }
-        let is_other = |row: &Row| row.key != *own.name;
+        let is_other = |row: &Row| row.key != *own.name && decode(row).is_some();
         let mut rows = Vec::new();
         if *state != OwnRow::WrittenLast {
             rows = store.read_from(TABLE, &own.name, ROWS).await?.rows;
@@ -137,6 +142,24 @@
         self.merge_members(others.filter_map(decode).collect());
         Ok(true)
     }
+
+    /// Reads further rows until one of the nodes is linked or all rows were read: those that were
+    /// read first may be of nodes that are down together.
+    async fn find_linked(self: &Rc<Peers>, store: &StoreClient) -> Result<(), Error> {
+        let mut from = String::new();
+        loop {
+            tokio::time::sleep(LINK_WAIT).await;
+            if self.directory.is_linked() {
+                return Ok(());
+            }
+            let rows = store.read_from(TABLE, &from, ROWS).await?.rows;
+            self.merge_members(rows.iter().filter_map(decode).collect());
+            match rows.last() {
+                Some(last) if rows.len() > 1 => from = last.key.replace('/', "%2F"),
+                _ => return Ok(()),
+            }
+        }
+    }
 }
 
 /// Returns whether a row is of an earlier process of this node, reached at the same address.
