Report more often where there are few links

Change: one report a link in 40 ms times the links, 0.5 to 2 s: 25 a second at most, as few links cost little. The report's age limit stays.

--- a/crates/sidecar/src/peers/directory.rs
+++ b/crates/sidecar/src/peers/directory.rs
@@ -246,9 +246,9 @@
         Some(peers[at].clone())
     }
 
-    /// Returns whether a link to any node is open.
-    pub(super) fn is_linked(&self) -> bool {
-        self.peers.borrow().iter().any(|peer| peer.link().is_some())
+    /// Returns the number of nodes to which a link is open.
+    pub(super) fn count_linked(&self) -> u32 {
+        self.peers.borrow().iter().filter(|peer| peer.link().is_some()).count() as u32
     }
 
     /// Removes a node. Does nothing if it is not known.
--- a/crates/sidecar/src/peers/registry.rs
+++ b/crates/sidecar/src/peers/registry.rs
@@ -149,7 +149,7 @@
         let mut from = String::new();
         loop {
             tokio::time::sleep(LINK_WAIT).await;
-            if self.directory.is_linked() {
+            if self.directory.count_linked() > 0 {
                 return Ok(());
             }
             let rows = store.read_from(TABLE, &from, ROWS).await?.rows;
--- a/crates/sidecar/src/peers/reports.rs
+++ b/crates/sidecar/src/peers/reports.rs
@@ -10,10 +10,14 @@
 use crate::peers::links::Peers;
 use crate::peers::membership::send_datagram;
 
-/// Time between two status reports to every peer. They are for peers that send no requests here:
-/// answers carry the load, and changes of a target are sent at once. Reports in both directions,
-/// a second apart at the mean, also keep links open.
-const REPORT_INTERVAL: Duration = Duration::from_secs(2);
+/// The least and the most time between two status reports to every peer. They are for peers that
+/// send no requests here: answers carry the load, and changes of a target are sent at once. Reports
+/// in both directions, a second apart at the mean, also keep links open.
+const REPORT_INTERVALS: (Duration, Duration) =
+    (Duration::from_millis(500), Duration::from_millis(2_000));
+/// Time between two status reports per link, so that their number per second does not grow with the
+/// links.
+const REPORT_INTERVAL_PER_LINK: Duration = Duration::from_millis(40);
 /// Peers to which a ruleset that a peer sent is passed on at once: with six, some 997 of 1,000
 /// nodes have it after a few hops.
 const FORWARD_PEERS: usize = 6;
@@ -22,7 +26,9 @@
     /// Sends the status to every peer at intervals, for as long as the process runs.
     pub(super) async fn send_reports(self: Rc<Peers>) {
         loop {
-            tokio::time::sleep(REPORT_INTERVAL).await;
+            let (least, most) = REPORT_INTERVALS;
+            let interval = REPORT_INTERVAL_PER_LINK * self.directory.count_linked();
+            tokio::time::sleep(interval.clamp(least, most)).await;
             self.update_service_strain();
             let status = self.guard.status();
             self.own_view.borrow_mut().reported(self.clock.now(), status.report);
