--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -31,6 +31,16 @@
 const QUIET_RATIO: f64 = 1.5;
 /// Weight of one answer in the exponentially weighted average of the work time.
 const WORK_WEIGHT: f64 = 0.05;
+/// How many times longer work is expected to take on a cold target than on a warm one before the
+/// first answer tells.
+const INITIAL_COLD_RATIO: f64 = 1.5;
+/// The highest ratio that one answer counts for.
+const MAX_COLD_RATIO: f64 = 5.0;
+/// Weight of one answer in the exponentially weighted average of that ratio.
+const COLD_WEIGHT: f64 = 0.1;
+/// How many times its expected time a request is taken to need where its aim is at stake, since
+/// about half of all work takes longer than expected.
+const AIM_MARGIN: f64 = 1.15;
 /// Work time that is assumed before the first answer, in microseconds.
 const INITIAL_WORK_US: f64 = 100_000.0;
 /// Limit of waiting requests per slot; more could not start before their deadlines.
@@ -117,6 +127,8 @@
     work_us: u64,
     /// How full the target was when the request started.
     occupancy: Occupancy,
+    /// Whether the target was cold when the request started.
+    cold: bool,
 }
 
 /// The limit on what a cold target is sent.
@@ -149,6 +161,8 @@
     unprobed_until: Time,
     /// Exponentially weighted average of the work time on a VM that is not slow, in microseconds.
     work_us: f64,
+    /// How many times longer work takes while the target is cold; at least 1.
+    cold_ratio: f64,
 }
 
 impl Default for Admission {
@@ -166,6 +180,7 @@
             reports_slowness: false,
             unprobed_until: Time::default(),
             work_us: INITIAL_WORK_US,
+            cold_ratio: INITIAL_COLD_RATIO,
         }
     }
 }
@@ -309,10 +324,15 @@
         let Some(took_us) = took_us else { return };
         let slowness = self.slowness(now);
         let normal_us = took_us as f64 / slowness.max(1.0);
+        let ratio = normal_us / running.work_us.max(1) as f64;
+        if running.cold {
+            let ratio = ratio.clamp(1.0, MAX_COLD_RATIO);
+            self.cold_ratio += (ratio - self.cold_ratio) * COLD_WEIGHT;
+            return;
+        }
         self.work_us += (normal_us - self.work_us) * WORK_WEIGHT;
         if slowness < QUIET_RATIO {
-            let ratio = took_us as f64 / running.work_us.max(1) as f64;
-            self.knee.answered(running.occupancy, ratio);
+            self.knee.answered(running.occupancy, took_us as f64 / running.work_us.max(1) as f64);
         }
     }
 
@@ -400,7 +420,7 @@
             true => Knee::occupancy(self.running() + 1, self.slots),
             false => Occupancy::Unclear,
         };
-        self.running.push(Running { id, work_us, occupancy });
+        self.running.push(Running { id, work_us, occupancy, cold: self.is_cold(now) });
         self.sent.sent(now);
     }
 
@@ -432,7 +452,9 @@
     }
 
     fn rank(&self, now: Time, request: &SlotRequest) -> Rank {
-        let done = now.after((request.work_us as f64 * self.slowness(now)) as u64);
+        let cold_ratio = if self.is_cold(now) { self.cold_ratio } else { 1.0 };
+        let work_us = request.work_us as f64 * self.slowness(now) * cold_ratio;
+        let done = now.after((work_us * AIM_MARGIN) as u64);
         (done > request.aim, request.priority, request.aim)
     }
 
@@ -440,7 +462,8 @@
     fn expected_wait_us(&self, now: Time, ahead: usize) -> u64 {
         let position = ahead as f64 + 1.0;
         let slots = f64::from(self.knee.usable_slots(self.slots).max(1));
-        let by_slots = self.work_us * position / slots;
+        let cold_ratio = if self.is_cold(now) { self.cold_ratio } else { 1.0 };
+        let by_slots = self.work_us * cold_ratio * position / slots;
         match self.warmup.filter(|warmup| warmup.until > now) {
             None => by_slots as u64,
             Some(warmup) => by_slots.max(1e6 * position / f64::from(warmup.most.max(1))) as u64,
--- a/crates/policy/tests/heavy_load.rs
+++ b/crates/policy/tests/heavy_load.rs
@@ -384,3 +384,102 @@
         assert!(!estimate(2_000.0).is_cheaper_near());
     }
 }
+
+mod retries_after_an_outage {
+    use super::*;
+    use policy::CallerTimeouts;
+
+    struct Case {
+        /// Timeouts of earlier requests in milliseconds, and how many had each.
+        earlier: &'static [(u64, usize)],
+        timeout_ms: u64,
+        age_ms: std::ops::RangeInclusive<u64>,
+    }
+
+    #[test]
+    fn a_shorter_timeout_than_usual_tells_how_old_a_request_is() {
+        let cases = [
+            Case { earlier: &[], timeout_ms: 800, age_ms: 0..=0 },
+            Case { earlier: &[(2_000, 30)], timeout_ms: 2_000, age_ms: 0..=0 },
+            Case { earlier: &[(2_000, 30)], timeout_ms: 1_997, age_ms: 0..=0 },
+            Case { earlier: &[(2_000, 30)], timeout_ms: 1_400, age_ms: 590..=610 },
+            Case { earlier: &[(2_000, 30), (1_500, 2)], timeout_ms: 1_400, age_ms: 590..=610 },
+            // Callers of two kinds: neither is taken for a retry of the other.
+            Case { earlier: &[(10_000, 30), (1_000, 10)], timeout_ms: 1_000, age_ms: 0..=0 },
+            Case { earlier: &[(10_000, 30), (1_000, 10)], timeout_ms: 700, age_ms: 290..=310 },
+            // A longer timeout than usual is no retry.
+            Case { earlier: &[(2_000, 30)], timeout_ms: 5_000, age_ms: 0..=0 },
+        ];
+        for Case { earlier, timeout_ms, age_ms } in cases {
+            let mut timeouts = CallerTimeouts::default();
+            for (timeout_ms, count) in earlier {
+                (0..*count).for_each(|_| drop(timeouts.age_us(timeout_ms * MS)));
+            }
+            let age = timeouts.age_us(timeout_ms * MS) / MS;
+            assert!(age_ms.contains(&age), "{earlier:?}, {timeout_ms}: {age}");
+        }
+    }
+
+    #[test]
+    fn a_flood_of_retries_is_not_taken_for_first_attempts() {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut timeouts = CallerTimeouts::default();
+        (0..50).for_each(|_| drop(timeouts.age_us(2_000 * MS)));
+        let mut recognised = 0;
+        for _ in 0..300 {
+            recognised += usize::from(timeouts.age_us(rng.random_range(200..1_900) * MS) > 0);
+            timeouts.age_us(2_000 * MS);
+        }
+        assert!(recognised > 290, "{recognised} of 300");
+        assert_eq!(timeouts.age_us(2_000 * MS), 0);
+    }
+
+    #[test]
+    fn a_request_that_can_meet_its_aim_starts_before_an_old_one() {
+        let mut admission = admission(1);
+        assert_eq!(admission.admit(at(0), slot_request(1, 300, 2_000)), Decision::Run);
+        // The caller of 2 has tried before: its aim has passed.
+        assert_eq!(admission.admit(at(1), slot_request(2, 0, 1_400)), Decision::Wait);
+        assert_eq!(admission.admit(at(2), slot_request(3, 302, 2_000)), Decision::Wait);
+        admission.done(at(100), 1, Some(100 * MS));
+        assert_eq!(admission.poll(at(100)), [(3, Decision::Run)]);
+    }
+}
+
+mod cold_work {
+    use super::*;
+
+    /// Returns an admission of a target that is cold for ten seconds.
+    fn cold_admission(slots: u32) -> Admission {
+        let mut admission = admission(slots);
+        admission.set_warmup(at(10_000), 100);
+        admission
+    }
+
+    #[test]
+    fn the_time_of_cold_work_is_learned_and_decides_who_can_meet_the_aim() {
+        let mut admission = cold_admission(1);
+        // Work of 100 ms takes 220 ms while the target is cold.
+        for id in 0..40 {
+            let begun = id * 220;
+            let request = slot_request(id, begun + 300, begun + 2_000);
+            assert_eq!(admission.admit(at(begun), request), Decision::Run);
+            admission.done(at(begun + 220), id, Some(220 * MS));
+        }
+        // What is learned of cold work does not change what is expected of warm work.
+        assert_eq!(admission.work_us(), 100 * MS);
+        let now = 40 * 220;
+        assert_eq!(
+            admission.admit(at(now), slot_request(50, now + 300, now + 2_000)),
+            Decision::Run
+        );
+        // In 100 ms, 51 has 180 ms left to its aim, too few for cold work; 52 has 300.
+        let waiting =
+            [slot_request(51, now + 280, now + 2_000), slot_request(52, now + 400, now + 2_000)];
+        for request in waiting {
+            assert_eq!(admission.admit(at(now), request), Decision::Wait);
+        }
+        admission.done(at(now + 100), 50, None);
+        assert_eq!(admission.poll(at(now + 100)), [(52, Decision::Run)]);
+    }
+}
