--- a/crates/policy/src/watch.rs
+++ b/crates/policy/src/watch.rs
@@ -24,6 +24,26 @@
 /// centre learns of a new watcher.
 const TAKEOVER_STEP_US: u64 = 300_000;
 
+/// How long a node that has just started waits for the ruleset from its peers before it reads the
+/// store, in microseconds, at least and at most, if others of its data centre read it before.
+const RULESET_WAIT_US: (u64, u64) = (300_000, 700_000);
+/// The longest wait of a node that does not know whether others do, in microseconds. Of hundreds of
+/// nodes that start at once, some read the store at once, and send the ruleset to most others
+/// before these do.
+const SPREAD_US: u64 = 600_000;
+
+/// Returns how long a node without a ruleset waits for its peers before it reads the store, in
+/// microseconds. `earlier` is the number of nodes of its data centre that sort before it by name, if
+/// it knows all nodes, and `draw` a random number from 0 to 1.
+pub fn ruleset_wait_us(earlier: Option<usize>, draw: f64) -> u64 {
+    let (least, most) = match earlier {
+        Some(earlier) if earlier < WATCHERS => return 0,
+        Some(_) => RULESET_WAIT_US,
+        None => (0, SPREAD_US),
+    };
+    least + ((most - least) as f64 * draw) as u64
+}
+
 /// What a node said of its watch on the operator's table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Watcher {
--- a/crates/policy/tests/watch.rs
+++ b/crates/policy/tests/watch.rs
@@ -1,7 +1,7 @@
 //! Selection of the nodes that watch the operator's table, in virtual time: nodes of one data
 //! centre that pass on what they know over a few links each.
 
-use policy::{Time, Watcher, Watchers};
+use policy::{Time, Watcher, Watchers, ruleset_wait_us};
 use world::Name;
 
 const MS: u64 = 1_000;
@@ -147,3 +147,25 @@
         assert_eq!(watchers.confirms(now, 5), confirms, "{received:?}");
     }
 }
+
+#[test]
+fn after_a_mass_restart_a_few_nodes_read_the_ruleset_at_once() {
+    struct Case {
+        earlier: Option<usize>,
+        draw: f64,
+        wait_ms: u64,
+    }
+    let cases = [
+        Case { earlier: Some(0), draw: 0.9, wait_ms: 0 },
+        Case { earlier: Some(1), draw: 0.9, wait_ms: 0 },
+        // The others leave time for the ruleset to arrive from these.
+        Case { earlier: Some(2), draw: 0.0, wait_ms: 300 },
+        Case { earlier: Some(50), draw: 1.0, wait_ms: 700 },
+        // A node that knows only a part of the fleet.
+        Case { earlier: None, draw: 0.0, wait_ms: 0 },
+        Case { earlier: None, draw: 0.5, wait_ms: 300 },
+    ];
+    for Case { earlier, draw, wait_ms } in cases {
+        assert_eq!(ruleset_wait_us(earlier, draw), wait_ms * MS, "{earlier:?} {draw}");
+    }
+}
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -42,14 +42,6 @@
 /// How long a node that watches the store waits for a newer ruleset from there before it fetches it
 /// from a peer.
 const FETCH_DELAY: Duration = Duration::from_millis(150);
-/// How long a node that has just started waits for the ruleset from its peers before it reads the
-/// store, in microseconds, at least and at most. Linking takes some tens of milliseconds. Nodes
-/// that all start at once wait differently long, and the first ones send the ruleset to others.
-const RULESET_WAIT_US: (u64, u64) = (300_000, 700_000);
-/// The time after which nodes are linked when the whole deployment starts for the first time, in
-/// microseconds: nodes start within 0.3 s, and a link waits for [`FIRST_START_DELAY`] at most.
-const FIRST_LINKS_US: u64 = 900_000;
-
 /// What the links need to know of this node.
 #[derive(Clone, Debug)]
 pub struct PeerSettings {
@@ -82,7 +74,7 @@
     pub(super) used_services: RefCell<Vec<(Name, Time)>>,
     /// Whether a ruleset is being fetched from a peer.
     fetching: Cell<bool>,
-    /// When a node without a ruleset reads the operator's table itself.
+    /// When a node without a ruleset reads the operator's table itself; set when it has joined.
     pub(super) read_after: Cell<Time>,
     /// Whether this node tries to watch the operator's table.
     pub(super) tries_watch: Cell<bool>,
@@ -107,9 +99,6 @@
         let endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)?;
         let PeerSettings { node, service, first_start, .. } = settings;
         let now = clock.now();
-        let (least, most) = RULESET_WAIT_US;
-        let linked_us = if first_start { FIRST_LINKS_US } else { 0 };
-        let wait_us = linked_us + rand::rng().random_range(least..most);
         let peers = Rc::new(Peers {
             membership: Membership::open(now, &node, service, first_start),
             local_node: node,
@@ -124,7 +113,7 @@
             own_view: RefCell::default(),
             used_services: RefCell::default(),
             fetching: Cell::new(false),
-            read_after: Cell::new(now.after(wait_us)),
+            read_after: Cell::new(Time::NEVER),
             tries_watch: Cell::new(false),
         });
         tokio::task::spawn_local(serve::accept(peers.clone(), peers.endpoint.clone()));
--- a/crates/sidecar/src/peers/registry.rs
+++ b/crates/sidecar/src/peers/registry.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use platform::store::{Error, Row, StoreClient};
-use policy::{Health, Member};
+use policy::{Health, Member, Time, ruleset_wait_us};
 use rand::Rng;
 use serde::Deserialize;
 use world::Name;
@@ -30,6 +30,10 @@
 /// How long a node waits before it reads the rows of others when the whole deployment starts for the
 /// first time: by then every node has written its own.
 const FIRST_READ_DELAY: Duration = Duration::from_millis(300);
+/// The time after which nodes are linked when the whole deployment starts for the first time, in
+/// microseconds: nodes start within 0.3 s, and the higher of two nodes leaves the lower one 0.4 s to
+/// open their link.
+const FIRST_LINKS_US: u64 = 900_000;
 /// How long a node waits for a first link before it reads further rows.
 const LINK_WAIT: Duration = Duration::from_millis(1_500);
 /// How often the node checks whether rows of nodes that are gone are to be removed.
@@ -140,9 +144,19 @@
         }
         let others = rows.iter().filter(|row| is_other(row));
         self.merge_members(others.filter_map(decode).collect());
+        self.set_ruleset_wait(rows.len() < ROWS as usize);
         Ok(true)
     }
 
+    /// Sets when this node reads the ruleset from the store if its peers do not send it.
+    /// `knows_all` is whether the rows of all nodes were read.
+    fn set_ruleset_wait(&self, knows_all: bool) {
+        let earlier = knows_all.then(|| self.membership.members.borrow().rank());
+        let wait_us = ruleset_wait_us(earlier, rand::rng().random());
+        let linked_us = if self.first_start { FIRST_LINKS_US } else { 0 };
+        self.read_after.set(self.clock.now().max(Time(linked_us)).after(wait_us));
+    }
+
     /// Reads further rows until one of the nodes is linked or all rows were read: those that were
     /// read first may be of nodes that are down together.
     async fn find_linked(self: &Rc<Peers>, store: &StoreClient) -> Result<(), Error> {
--- a/crates/sidecar/tests/requests.rs
+++ b/crates/sidecar/tests/requests.rs
@@ -241,3 +241,18 @@
     }
     deployment.vms[1].signal("-CONT").await;
 }
+
+#[tokio::test]
+async fn a_guard_that_runs_an_attempt_is_not_taken_for_silent() {
+    let mut deployment =
+        Deployment::prepare(NODE, &[("dc-1", "a"), ("dc-1", "a"), ("dc-1", "b")]).await;
+    deployment.start_nodes().await;
+    for at in 0..10 {
+        // Longer than a silent guard is waited for, and too short for a hedged attempt.
+        let id = format!("long-{at}");
+        let request = TestRequest { id: &id, behaviour: "work=150", ..TestRequest::default() };
+        assert_eq!(deployment.send_request(2, &request).await.unwrap().status, 200, "{id}");
+        assert_eq!(deployment.run_count(&id), 1, "{id}");
+    }
+    assert_eq!(deployment.vms[2].counter("bamboowheel_repeats_total").await, Some(0));
+}
