Decide who reads the ruleset first once nodes are linked

Change: a node of a small fleet ranks itself 80 ms after it joined, when it is linked to the others; in a large one nodes read after 0 to 0.6 s at random.

--- a/crates/sidecar/src/peers/registry.rs
+++ b/crates/sidecar/src/peers/registry.rs
@@ -34,6 +34,9 @@
 /// microseconds: nodes start within 0.3 s, and the higher of two nodes leaves the lower one 0.4 s to
 /// open their link.
 const FIRST_LINKS_US: u64 = 900_000;
+/// The time in which a node of a small fleet links to the others and learns their names, in
+/// microseconds.
+const LINK_US: u64 = 80_000;
 /// How long a node waits for a first link before it reads further rows.
 const LINK_WAIT: Duration = Duration::from_millis(1_500);
 /// How often the node checks whether rows of nodes that are gone are to be removed.
@@ -144,17 +147,20 @@
         }
         let others = rows.iter().filter(|row| is_other(row));
         self.merge_members(others.filter_map(decode).collect());
-        self.set_ruleset_wait(rows.len() < ROWS as usize);
+        let is_small = rows.len() < ROWS as usize;
+        tokio::task::spawn_local(self.clone().set_ruleset_wait(is_small));
         Ok(true)
     }
 
-    /// Sets when this node reads the ruleset from the store if its peers do not send it.
-    /// `knows_all` is whether the rows of all nodes were read.
-    fn set_ruleset_wait(&self, knows_all: bool) {
-        let earlier = knows_all.then(|| self.membership.members.borrow().rank());
+    /// Sets when this node reads the ruleset from the store if its peers do not send it. `is_small`
+    /// is whether the fleet may be so small that all nodes are known once they are linked.
+    async fn set_ruleset_wait(self: Rc<Peers>, is_small: bool) {
+        let linked = if self.first_start { Time(FIRST_LINKS_US) } else { Time::default() };
+        let from = self.clock.now().after(if is_small { LINK_US } else { 0 }).max(linked);
+        tokio::time::sleep_until(self.clock.instant(from)).await;
+        let earlier = is_small.then(|| self.membership.members.borrow().rank());
         let wait_us = ruleset_wait_us(earlier, rand::rng().random());
-        let linked_us = if self.first_start { FIRST_LINKS_US } else { 0 };
-        self.read_after.set(self.clock.now().max(Time(linked_us)).after(wait_us));
+        self.read_after.set(self.clock.now().after(wait_us));
     }
 
     /// Reads further rows until one of the nodes is linked or all rows were read: those that were
