One watcher a data centre where there are three or more

Change: one watcher in each data centre of a fleet with three or more, since the others' watchers send changes everywhere; nodes of a large fleet that start for the first time wait up to 3 s for the ruleset before they read it; lists are compared with nodes of the same data centre first.

--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -135,6 +135,15 @@
         before.filter(|member| member.data_centre == self.local.data_centre).count()
     }
 
+    /// Returns the number of data centres with members that are up.
+    pub fn data_centres(&self) -> usize {
+        let all = self.up().chain([&self.local]);
+        let mut names: Vec<&Name> = all.map(|member| &member.data_centre).collect();
+        names.sort_unstable();
+        names.dedup();
+        names.len()
+    }
+
     /// Sets the version of the configuration in force, which every message carries.
     pub fn set_version(&mut self, version: u64) {
         self.version = version;
--- a/crates/policy/src/watch.rs
+++ b/crates/policy/src/watch.rs
@@ -13,6 +13,11 @@
 
 /// Nodes of a data centre that watch the table: one, and a spare in case it is lost.
 const WATCHERS: usize = 2;
+/// The same in a fleet of at least [`MANY_DATA_CENTRES`]: the watchers of the others send changes
+/// to every data centre.
+const WATCHERS_OF_MANY: usize = 1;
+/// Data centres from which on one watcher in each is enough.
+const MANY_DATA_CENTRES: usize = 3;
 /// Limit of the nodes of a data centre that try to watch while the store refuses some of them.
 const MAX_CANDIDATES: usize = 4;
 /// What a node said of itself counts for this long, in microseconds. It is passed on every two
@@ -123,9 +128,17 @@
     }
 
     /// Returns whether this node is to try to watch the table. `tries` is whether it does so
-    /// already, and `rank` how many live nodes of the data centre sort before it by name.
-    pub fn should_watch(&mut self, now: Time, tries: bool, rank: usize) -> bool {
+    /// already, `rank` how many live nodes of the data centre sort before it by name, and
+    /// `data_centres` the number of data centres with live nodes.
+    pub fn should_watch(
+        &mut self,
+        now: Time,
+        tries: bool,
+        rank: usize,
+        data_centres: usize,
+    ) -> bool {
         self.expire(now);
+        let wanted = if data_centres < MANY_DATA_CENTRES { WATCHERS } else { WATCHERS_OF_MANY };
         let others = self
             .listed
             .iter()
@@ -133,9 +146,9 @@
         let (count, before) = others.fold((0, 0), |(count, before), other| {
             (count + 1, before + usize::from(other.watcher.name < self.local))
         });
-        if count >= WATCHERS {
+        if count >= wanted {
             self.few_since = None;
-            return tries && before < WATCHERS;
+            return tries && before < wanted;
         }
         let since = *self.few_since.get_or_insert(now);
         let wait_us = TAKEOVER_US + rank as u64 * TAKEOVER_STEP_US;
--- a/crates/policy/tests/watch.rs
+++ b/crates/policy/tests/watch.rs
@@ -21,6 +21,8 @@
 /// Nodes of one data centre, each linked to the next few.
 struct DataCentre {
     nodes: Vec<Node>,
+    /// How many data centres the fleet has.
+    data_centres: usize,
     now: Time,
 }
 
@@ -31,7 +33,7 @@
             let watchers = Watchers::new(Time(0), name);
             Node { watchers, tries: false, answered: true, alive: true }
         };
-        DataCentre { nodes: (0..count).map(node).collect(), now: Time(0) }
+        DataCentre { nodes: (0..count).map(node).collect(), data_centres: 1, now: Time(0) }
     }
 
     fn step(&mut self) {
@@ -43,7 +45,7 @@
             }
             let rank = self.nodes[..at].iter().filter(|node| node.alive).count();
             let node = &mut self.nodes[at];
-            node.tries = node.watchers.should_watch(self.now, node.tries, rank);
+            node.tries = node.watchers.should_watch(self.now, node.tries, rank, self.data_centres);
             let own = (node.tries && node.answered).then_some(7);
             let changed = node.watchers.set_own(self.now, own);
             if changed || (self.now.0 / MS + at as u64 * 100).is_multiple_of(REPORT_MS) {
@@ -92,6 +94,17 @@
     }
 }
 
+#[test]
+fn one_node_of_each_watches_where_there_are_many_data_centres() {
+    let mut data_centre = DataCentre::open(30);
+    data_centre.data_centres = 3;
+    data_centre.run(3_000);
+    assert_eq!(data_centre.watching(), [0]);
+    data_centre.nodes[0].answered = false;
+    data_centre.run(1_500);
+    assert_eq!(data_centre.watching(), [1]);
+}
+
 #[test]
 fn others_take_over_within_seconds_and_keep_the_watch() {
     for alive in [true, false] {
--- a/crates/sidecar/src/peers/membership.rs
+++ b/crates/sidecar/src/peers/membership.rs
@@ -183,7 +183,10 @@
         {
             send_datagram(peer, &datagram);
         }
-        if self.membership.begun_syncs.get() < FIRST_SYNCS {
+        // Lists are long, and bytes between data centres are charged for.
+        let is_first = self.membership.begun_syncs.get() == 0;
+        let is_near = self.is_same_data_centre(&peer.data_centre());
+        if is_first || is_near && self.membership.begun_syncs.get() < FIRST_SYNCS {
             tokio::task::spawn_local(self.clone().sync(peer.clone()));
         }
     }
@@ -275,9 +278,12 @@
             self.tries_watch.set(true);
             return true;
         }
-        let rank = self.membership.members.borrow().rank();
-        let tries = self.tries_watch.get();
-        let tries = self.membership.watchers.borrow_mut().should_watch(now, tries, rank);
+        let (rank, data_centres) = {
+            let members = self.membership.members.borrow();
+            (members.rank(), members.data_centres())
+        };
+        let mut watchers = self.membership.watchers.borrow_mut();
+        let tries = watchers.should_watch(now, self.tries_watch.get(), rank, data_centres);
         self.tries_watch.set(tries);
         tries
     }
--- a/crates/sidecar/src/peers/registry.rs
+++ b/crates/sidecar/src/peers/registry.rs
@@ -34,6 +34,9 @@
 /// microseconds: nodes start within 0.3 s, and the higher of two nodes leaves the lower one 0.4 s to
 /// open their link.
 const FIRST_LINKS_US: u64 = 900_000;
+/// How many times longer nodes of a large fleet wait for the ruleset when the whole deployment starts
+/// for the first time, seconds before its callers do.
+const FIRST_SPREAD: u64 = 5;
 /// The time in which a node of a small fleet links to the others and learns their names, in
 /// microseconds.
 const LINK_US: u64 = 80_000;
@@ -159,7 +162,10 @@
         let from = self.clock.now().after(if is_small { LINK_US } else { 0 }).max(linked);
         tokio::time::sleep_until(self.clock.instant(from)).await;
         let earlier = is_small.then(|| self.membership.members.borrow().rank());
-        let wait_us = ruleset_wait_us(earlier, rand::rng().random());
+        let mut wait_us = ruleset_wait_us(earlier, rand::rng().random());
+        if self.first_start && !is_small {
+            wait_us *= FIRST_SPREAD;
+        }
         self.read_after.set(self.clock.now().after(wait_us));
     }
 
