Stop requests that crash their targets after the third crash

Cause: the rule stood, and nothing returned Refusal::Quarantined. Change: policy::Crashes. When a connection breaks while a request runs and the target's port then refuses connections, the guard tells all peers its fingerprint; an answer clears it; after three crashes without an answer guards refuse it as "not run" and entries try no other target. A node that starts gets the reports from its peers.

--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -426,7 +426,11 @@
             Outcome::NotRun { refusal, reached } => {
                 self.reached += u32::from(reached);
                 self.refusal = refusal;
-                Next::TryAnother
+                // No target runs a request that crashes them.
+                match refusal {
+                    Refusal::Quarantined => Next::Stop,
+                    _ => Next::TryAnother,
+                }
             }
             Outcome::Lost { detail } => {
                 self.detail = detail;
--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -12,6 +12,7 @@
 use policy::{Refusal, Time};
 use wire::link::Attempt;
 
+use crate::guard::crashes::fingerprint;
 use crate::guard::pool::{self, Connection};
 use crate::guard::state::{Guard, Target};
 
@@ -121,6 +122,10 @@
         if let Some(refusal) = self.refusal() {
             return not_run(refusal);
         }
+        let print = fingerprint(attempt, &body);
+        if self.is_quarantined(print) {
+            return not_run(Refusal::Quarantined);
+        }
         let mut slot = match self.acquire_slot(attempt, deadline).await {
             Ok(slot) => slot,
             Err(refusal) => return not_run(refusal),
@@ -141,13 +146,17 @@
             Ok(Ok(mut answer)) => {
                 answer.took_us = self.clock.now().since(begun);
                 slot.took_us = Some(answer.took_us);
+                self.clear(print);
                 self.classify(answer)
             }
             Ok(Err(Failure::Unsent(detail))) => {
                 self.suspect(&detail);
                 not_run(Refusal::NoTarget)
             }
-            Ok(Err(Failure::Broken(detail))) => Outcome::Lost { detail },
+            Ok(Err(Failure::Broken(detail))) => {
+                self.check_crash(print, &target);
+                Outcome::Lost { detail }
+            }
         }
     }
 
--- a/crates/sidecar/src/guard/mod.rs
+++ b/crates/sidecar/src/guard/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod bodies;
+mod crashes;
 mod incarnations;
 mod pool;
 mod probe;
@@ -10,4 +11,4 @@
 pub use attempt::{Answer, Outcome};
 pub use bodies::BodyMemory;
 pub use probe::find_target;
-pub use state::Guard;
+pub use state::{Guard, VmNames};
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -6,9 +6,11 @@
 
 use platform::heartbeat::Heartbeat;
 use platform::settings::WarmupLimits;
-use policy::{Admission, Decision, Refusal, Report, SlotRequest, Time, TokenBucket};
+use policy::{
+    Admission, CrashNotice, Crashes, Decision, Refusal, Report, SlotRequest, Time, TokenBucket,
+};
 use runtime::{Clock, wall_ms};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use wire::link::{Attempt, Life, Status};
 use world::{Name, Ruleset};
 
@@ -37,6 +39,17 @@
     pub address: SocketAddr,
 }
 
+/// The names of a VM, by its settings.
+#[derive(Clone, Debug)]
+pub struct VmNames {
+    /// The node on it.
+    pub node: Name,
+    /// The data centre that it belongs to.
+    pub data_centre: Name,
+    /// The service of its target.
+    pub service: Name,
+}
+
 /// Sends a waiting request the decision whether it runs.
 type Waiter = oneshot::Sender<Result<(), Refusal>>;
 
@@ -82,6 +95,8 @@
     pub bodies: BodyMemory,
     pub(super) metrics: Rc<Metrics>,
     data_centre: Name,
+    /// The name of this node.
+    pub(super) node_name: Name,
     /// The service of this VM by its settings.
     vm_service: Name,
     warmup_limits: Cell<WarmupLimits>,
@@ -96,23 +111,28 @@
     pub(super) measuring: Cell<bool>,
     /// Notified when a request begins to wait, since that may change what is due next.
     queued: Notify,
+    /// Requests that crash their targets, as far as this node knows.
+    pub(super) crashes: RefCell<Crashes>,
+    /// What this guard found of such requests and the peers are to be told.
+    crash_notices: mpsc::UnboundedSender<CrashNotice>,
+    pub(super) crash_receiver: RefCell<Option<mpsc::UnboundedReceiver<CrashNotice>>>,
     /// Counts the changes of which other nodes must be notified at once.
     changes: watch::Sender<u64>,
 }
 
 impl Guard {
-    /// Returns the guard of a VM whose target is not known yet. `place` is the VM's data centre and
-    /// service.
+    /// Returns the guard of a VM whose target is not known yet.
     pub fn open(
         clock: Clock,
         rules: Rc<ActiveRuleset>,
         metrics: Rc<Metrics>,
-        place: (Name, Name),
+        vm: VmNames,
         warmup_limits: WarmupLimits,
         bodies: BodyMemory,
     ) -> Rc<Guard> {
-        let (data_centre, vm_service) = place;
+        let VmNames { node: node_name, data_centre, service: vm_service } = vm;
         let (changes, _) = watch::channel(0);
+        let (crash_notices, crash_receiver) = mpsc::unbounded_channel();
         Rc::new(Guard {
             state: RefCell::default(),
             clock,
@@ -121,6 +141,7 @@
             bodies,
             metrics,
             data_centre,
+            node_name,
             vm_service,
             warmup_limits: Cell::new(warmup_limits),
             drain_announced: Cell::new(false),
@@ -129,6 +150,9 @@
             confirming: Cell::new(false),
             measuring: Cell::new(false),
             queued: Notify::new(),
+            crashes: RefCell::default(),
+            crash_notices,
+            crash_receiver: RefCell::new(Some(crash_receiver)),
             changes,
         })
     }
@@ -535,6 +559,12 @@
         state.send_decisions(decided);
     }
 
+    /// Causes a notice to be sent to every peer at once.
+    pub(super) fn send_crash_notice(&self, notice: CrashNotice) {
+        // Fails only if the links were never started, as in no running node.
+        let _ = self.crash_notices.send(notice);
+    }
+
     /// Causes the status to be sent to every peer at once.
     fn notify_peers(&self) {
         self.changes.send_modify(|count| *count += 1);
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -119,6 +119,7 @@
         tokio::task::spawn_local(serve::accept(peers.clone(), peers.endpoint.clone()));
         tokio::task::spawn_local(peers.clone().send_reports());
         tokio::task::spawn_local(peers.clone().send_changes());
+        tokio::task::spawn_local(peers.clone().send_crash_notices());
         tokio::task::spawn_local(peers.clone().run_membership());
         tokio::task::spawn_local(peers.clone().run_selection());
         Ok(peers)
--- a/crates/sidecar/src/peers/membership.rs
+++ b/crates/sidecar/src/peers/membership.rs
@@ -171,8 +171,18 @@
         if list.is_empty() { None } else { encode(&Datagram::Watchers(list)) }
     }
 
-    /// Introduces this node to a peer on a new link, and compares lists if this node is new.
+    /// Introduces this node to a peer on a new link, tells it of requests that crash targets, and
+    /// compares lists if this node is new.
     pub(super) fn introduce(self: &Rc<Peers>, peer: &Rc<Peer>) {
+        let notices = self.guard.crash_notices();
+        if !notices.is_empty() {
+            let (peers, peer) = (self.clone(), peer.clone());
+            tokio::task::spawn_local(async move {
+                if let Err(error) = peers.request(&peer, &Frame::Crashes(notices)).await {
+                    tracing::debug!(%error, "peers: cannot send notices of crashes");
+                }
+            });
+        }
         let name = peer.node().name;
         let introduction = self.membership.members.borrow_mut().introduction(&name);
         if let Some(datagram) = encode(&Datagram::Member(Box::new(introduction))) {
--- a/crates/sidecar/src/peers/reports.rs
+++ b/crates/sidecar/src/peers/reports.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::CrashNotice;
 use rand::seq::SliceRandom;
 use wire::link::{Datagram, Frame};
 
@@ -60,6 +61,39 @@
         self.guard.update_service_strain(strains.into_iter());
     }
 
+    /// Sends what the guard finds of requests that crash targets to every linked peer, for as long
+    /// as the process runs.
+    pub(super) async fn send_crash_notices(self: Rc<Peers>) {
+        let Some(mut notices) = self.guard.take_crash_notices() else { return };
+        while let Some(notice) = notices.recv().await {
+            self.send_frame(&Rc::new(Frame::Crashes(vec![notice])), usize::MAX);
+        }
+    }
+
+    /// Applies notices of a peer, and passes on those that are new.
+    pub(super) fn handle_crash_notices(self: &Rc<Peers>, notices: Vec<CrashNotice>) {
+        let fresh: Vec<CrashNotice> =
+            notices.into_iter().filter(|notice| self.guard.note_crash(notice)).collect();
+        if !fresh.is_empty() {
+            self.send_frame(&Rc::new(Frame::Crashes(fresh)), FORWARD_PEERS);
+        }
+    }
+
+    /// Sends a frame to at most `most` linked peers, chosen at random, and waits for no reply.
+    fn send_frame(self: &Rc<Peers>, frame: &Rc<Frame>, most: usize) {
+        let mut receivers = self.directory.all();
+        receivers.retain(|peer| peer.link().is_some());
+        receivers.shuffle(&mut rand::rng());
+        for peer in receivers.into_iter().take(most) {
+            let (peers, frame) = (self.clone(), frame.clone());
+            tokio::task::spawn_local(async move {
+                if let Err(error) = peers.request(&peer, &frame).await {
+                    tracing::debug!(%error, "peers: cannot send a frame to a peer");
+                }
+            });
+        }
+    }
+
     /// Sends the status at once when a change must not wait for the next report: to every linked
     /// peer if the target changed or this node got a new ruleset from the store, and to a few if it
     /// got the ruleset from a peer, who all pass it on. The others learn of it from a report.
@@ -77,20 +111,7 @@
             let status = self.guard.status();
             self.own_view.borrow_mut().reported(self.clock.now(), status.report);
             let frame = Rc::new(Frame::Status(Box::new(status)));
-            let mut receivers = self.directory.all();
-            receivers.retain(|peer| peer.link().is_some());
-            if !to_all {
-                receivers.shuffle(&mut rand::rng());
-                receivers.truncate(FORWARD_PEERS);
-            }
-            for peer in receivers {
-                let (peers, frame) = (self.clone(), frame.clone());
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = peers.request(&peer, &frame).await {
-                        tracing::debug!(%error, "peers: cannot send a changed status");
-                    }
-                });
-            }
+            self.send_frame(&frame, if to_all { usize::MAX } else { FORWARD_PEERS });
         }
     }
 }
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -109,6 +109,10 @@
             Reply::Noted
         }
         Frame::Release => peers.handle_release(&peer),
+        Frame::Crashes(notices) => {
+            peers.handle_crash_notices(notices);
+            Reply::Noted
+        }
         Frame::Hello(_) => return,
     };
     if let Err(error) = wire::write(&mut send, &reply).await {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -18,7 +18,7 @@
 
 use crate::configuration::{self, ActiveRuleset};
 use crate::entry::{self, CallerServer, Entry};
-use crate::guard::{self, BodyMemory, Guard};
+use crate::guard::{self, BodyMemory, Guard, VmNames};
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
 use crate::{local_http, logs};
@@ -148,7 +148,11 @@
         clock,
         ruleset.clone(),
         metrics.clone(),
-        (data_centre.clone(), settings.service.clone()),
+        VmNames {
+            node: settings.name.clone(),
+            data_centre: data_centre.clone(),
+            service: settings.service.clone(),
+        },
         settings.warmup,
         BodyMemory::new(settings.memory_bytes),
     );
--- /dev/null
+++ b/crates/sidecar/tests/crashes.rs
@@ -0,0 +1,52 @@
+//! Requests that crash the targets that run them.
+
+use std::time::Duration;
+
+use standin::caller::TestRequest;
+use standin::deployment::{Deployment, eventually};
+
+const NODE: &str = env!("CARGO_BIN_EXE_bamboowheel-sidecar");
+
+#[tokio::test]
+async fn a_request_that_crashes_its_targets_is_stopped_after_the_third() {
+    let vms = [("dc-1", "a"), ("dc-1", "a"), ("dc-1", "a"), ("dc-1", "b")];
+    let mut deployment = Deployment::prepare(NODE, &vms).await;
+    deployment.start_nodes().await;
+    let mut refused = None;
+    for round in 0..12 {
+        // It comes again with another id, at any node.
+        let id = format!("crash-{round}");
+        let request =
+            TestRequest { id: &id, path: "/once/crash", behaviour: "crash", ..Default::default() };
+        let answer = deployment.send_request(round % 4, &request).await.unwrap();
+        assert!(matches!(answer.status, 502..=504), "{answer:?}");
+        if answer.status == 503 && answer.body.contains("2016") {
+            refused = refused.or(Some(round));
+            assert_eq!(deployment.run_count(&id), 0, "{id}");
+        }
+        // The target comes back.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        // Others go on, with the same path and with another one.
+        for path in ["/safe/x", "/once/x"] {
+            let served = eventually(Duration::from_secs(2), async || {
+                let request = TestRequest { id: "other", path, ..TestRequest::default() };
+                let answer = deployment.send_request(round % 4, &request).await;
+                answer.is_some_and(|answer| answer.status == 200)
+            });
+            assert!(served.await, "{path} after {id}");
+        }
+    }
+    let runs: usize = (0..12).map(|round| deployment.run_count(&format!("crash-{round}"))).sum();
+    assert!((3..=4).contains(&runs), "it ran {runs} times");
+    assert!(refused.is_some_and(|round| round <= 6), "first refused in round {refused:?}");
+    // A node that restarts learns of it from its peers.
+    deployment.vms[3].kill().await;
+    deployment.start_node(3);
+    let ready = eventually(Duration::from_secs(5), async || deployment.vms[3].is_ready().await);
+    assert!(ready.await);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let request =
+        TestRequest { id: "last", path: "/once/crash", behaviour: "crash", ..Default::default() };
+    let answer = deployment.send_request(3, &request).await.unwrap();
+    assert_eq!((answer.status, deployment.run_count("last")), (503, 0), "{answer:?}");
+}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use policy::{Member, MemberMessage, Refusal, Report, Watcher};
+use policy::{CrashNotice, Member, MemberMessage, Refusal, Report, Watcher};
 use serde::{Deserialize, Serialize};
 use world::{Name, Ruleset};
 
@@ -120,6 +120,8 @@
     /// Asks to close this link, which the sender does not need. Answered by [`Reply::Noted`], or by
     /// [`Reply::Kept`] if the receiver needs it.
     Release,
+    /// Tells of requests that crash their targets. Answered by [`Reply::Noted`].
+    Crashes(Vec<CrashNotice>),
 }
 
 /// A message that is sent as a datagram and not answered.
