Explain: leave out empty fields; test a target that is silent for a while

Cause: explain printed "detail=" without a text. The test of the report failed first. A second test shows that a target without heartbeats for three intervals keeps its running work and gets more; it held as first run.

--- a/crates/bamboowheelctl/src/cmd/explain.rs
+++ b/crates/bamboowheelctl/src/cmd/explain.rs
@@ -110,11 +110,14 @@
     result
 }
 
-/// Formats a line as its timestamp, source, message and other fields. Leaves out the level and the
-/// id of the request.
+/// Formats a line as its timestamp, source, message and other fields. Leaves out the level, the id
+/// of the request and empty texts.
 pub fn format_line(line: &LogLine) -> String {
     let excluded = ["timestamp", "level", "message", "request"];
-    let rest = line.fields.iter().filter(|(name, _)| !excluded.contains(&name.as_str()));
+    let is_shown = |(name, value): &(&String, &Value)| {
+        !excluded.contains(&name.as_str()) && value.as_str() != Some("")
+    };
+    let rest = line.fields.iter().filter(is_shown);
     let rest: Vec<String> = rest
         .map(|(name, value)| match value.as_str() {
             Some(text) => format!("{name}={text}"),
--- a/crates/bamboowheelctl/tests/explain.rs
+++ b/crates/bamboowheelctl/tests/explain.rs
@@ -4,7 +4,7 @@
 use expect_test::expect;
 
 const LOG: &str = r#"
-   1.0500 vm-1 {"timestamp":"2026-12-04T10:00:00.2Z","level":"INFO","message":"entry: refused","request":"q-1","status":503,"refusal":"full"}
+   1.0500 vm-1 {"timestamp":"2026-12-04T10:00:00.2Z","level":"INFO","message":"entry: refused","request":"q-1","status":503,"refusal":"full","detail":""}
 {"timestamp":"2026-12-04T10:00:00.1Z","level":"INFO","message":"guard: refused","request":"q-1","waited_us":120,"refusal":"full"}
 {"timestamp":"2026-12-04T10:00:00.3Z","level":"INFO","message":"entry: answered","request":"q-2"}
 broken
--- a/crates/sidecar/tests/targets.rs
+++ b/crates/sidecar/tests/targets.rs
@@ -219,3 +219,25 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     assert!(!is_served(&deployment, "left").await);
 }
+
+#[tokio::test]
+async fn a_target_that_is_silent_for_a_while_keeps_its_work_and_gets_more() {
+    let mut deployment = started_deployment().await;
+    let silent = async {
+        // No heartbeat for three times the interval: nothing is given up, nor started again.
+        tokio::time::sleep(Duration::from_millis(4_500)).await;
+        assert!(is_served(&deployment, "silent").await);
+    };
+    let long = TestRequest {
+        id: "long",
+        path: "/once/x",
+        behaviour: "work=1900",
+        timeout_ms: 2_000,
+        ..TestRequest::default()
+    };
+    let (answer, ()) = tokio::join!(deployment.send_request(1, &long), silent);
+    assert_eq!(answer.map(|answer| answer.status), Some(200));
+    assert_eq!(deployment.run_count("long"), 1);
+    assert_eq!(deployment.vms[0].heartbeat("ready", 0.0).await, 200);
+    assert!(is_served(&deployment, "again").await);
+}
