Send a target that answers nothing one request at a time

Change: a guard with two requests at four times their expected time, and no answer since they began, takes its target for stalled: it gets one request at a time, and reports so, until it answers in time. Joins of members are logged as debug, since a node that starts learns of all others at once.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -43,6 +43,13 @@
 const AIM_MARGIN: f64 = 1.15;
 /// Work time that is assumed before the first answer, in microseconds.
 const INITIAL_WORK_US: f64 = 100_000.0;
+/// A request is overdue after this many times its expected time.
+const OVERDUE_FACTOR: f64 = 4.0;
+/// A request is not overdue before this time, in microseconds.
+const MIN_OVERDUE_US: f64 = 200_000.0;
+/// Overdue requests, without any answer since the first of them started, from which the target is
+/// taken to be stalled.
+const STALLED_REQUESTS: usize = 2;
 /// Limit of waiting requests per slot; more could not start before their deadlines.
 const WAITING_PER_SLOT: usize = 4;
 /// Limit of a request's wait, as a share of the time to its deadline: a request that is refused
@@ -125,6 +132,10 @@
     id: u64,
     /// The expected work time, in microseconds.
     work_us: u64,
+    /// When it started.
+    begun: Time,
+    /// When it is overdue.
+    overdue: Time,
     /// How full the target was when the request started.
     occupancy: Occupancy,
     /// Whether the target was cold when the request started.
@@ -163,6 +174,13 @@
     work_us: f64,
     /// How many times longer work takes while the target is cold; at least 1.
     cold_ratio: f64,
+    /// When the target last answered.
+    answered_at: Time,
+    /// Overdue requests that were given up since then.
+    unanswered: usize,
+    /// Whether the target seems to answer nothing. Until it answers in time, it gets one request at
+    /// a time.
+    stalled: bool,
 }
 
 impl Default for Admission {
@@ -181,6 +199,9 @@
             unprobed_until: Time::default(),
             work_us: INITIAL_WORK_US,
             cold_ratio: INITIAL_COLD_RATIO,
+            answered_at: Time::default(),
+            unanswered: 0,
+            stalled: false,
         }
     }
 }
@@ -321,7 +342,18 @@
     pub fn done(&mut self, now: Time, id: u64, took_us: Option<u64>) {
         let Some(at) = self.running.iter().position(|running| running.id == id) else { return };
         let running = self.running.swap_remove(at);
-        let Some(took_us) = took_us else { return };
+        let Some(took_us) = took_us else {
+            // One that was given up because the target did not answer counts as much as one that
+            // still runs.
+            if now >= running.overdue && self.answered_at < running.begun {
+                self.unanswered += 1;
+                self.stalled |= self.unanswered >= STALLED_REQUESTS;
+            }
+            return;
+        };
+        self.answered_at = now;
+        self.unanswered = 0;
+        self.stalled &= now >= running.overdue;
         let slowness = self.slowness(now);
         let normal_us = took_us as f64 / slowness.max(1.0);
         let ratio = normal_us / running.work_us.max(1) as f64;
@@ -362,7 +394,7 @@
         if !self.waiting.is_empty() {
             return -(self.waiting.len() as i32);
         }
-        let slots = self.knee.usable_slots(self.slots).saturating_sub(self.running());
+        let slots = self.limit(now).saturating_sub(self.running());
         let room = match self.warmup.filter(|warmup| warmup.until > now) {
             Some(warmup) => slots.min(self.sent.room(now, warmup.most)),
             None => slots,
@@ -420,7 +452,11 @@
             true => Knee::occupancy(self.running() + 1, self.slots),
             false => Occupancy::Unclear,
         };
-        self.running.push(Running { id, work_us, occupancy, cold: self.is_cold(now) });
+        let cold = self.is_cold(now);
+        let cold_ratio = if cold { self.cold_ratio } else { 1.0 };
+        let expected_us = work_us as f64 * self.slowness(now) * cold_ratio;
+        let overdue = now.after((expected_us * OVERDUE_FACTOR).max(MIN_OVERDUE_US) as u64);
+        self.running.push(Running { id, work_us, begun: now, overdue, occupancy, cold });
         self.sent.sent(now);
     }
 
@@ -429,7 +465,17 @@
             Some(warmup) => self.sent.room(now, warmup.most) > 0,
             None => true,
         };
-        rate_allows && self.running() < self.knee.usable_slots(self.slots)
+        rate_allows && self.running() < self.limit(now)
+    }
+
+    /// Returns how many requests may run at once: one while the target is stalled.
+    fn limit(&mut self, now: Time) -> u32 {
+        let is_overdue = |running: &&Running| now >= running.overdue;
+        let mut overdue = self.running.iter().filter(is_overdue);
+        let is_stalled = overdue.clone().count() >= STALLED_REQUESTS
+            && overdue.all(|running| self.answered_at < running.begun);
+        self.stalled |= is_stalled;
+        if self.stalled { 1 } else { self.knee.usable_slots(self.slots) }
     }
 
     fn is_slow(&self, now: Time) -> bool {
--- a/crates/policy/tests/heavy_load.rs
+++ b/crates/policy/tests/heavy_load.rs
@@ -413,7 +413,9 @@
         for Case { earlier, timeout_ms, age_ms } in cases {
             let mut timeouts = CallerTimeouts::default();
             for (timeout_ms, count) in earlier {
-                (0..*count).for_each(|_| drop(timeouts.age_us(timeout_ms * MS)));
+                for _ in 0..*count {
+                    timeouts.age_us(timeout_ms * MS);
+                }
             }
             let age = timeouts.age_us(timeout_ms * MS) / MS;
             assert!(age_ms.contains(&age), "{earlier:?}, {timeout_ms}: {age}");
@@ -424,7 +426,9 @@
     fn a_flood_of_retries_is_not_taken_for_first_attempts() {
         let mut rng = SmallRng::seed_from_u64(1);
         let mut timeouts = CallerTimeouts::default();
-        (0..50).for_each(|_| drop(timeouts.age_us(2_000 * MS)));
+        for _ in 0..50 {
+            timeouts.age_us(2_000 * MS);
+        }
         let mut recognised = 0;
         for _ in 0..300 {
             recognised += usize::from(timeouts.age_us(rng.random_range(200..1_900) * MS) > 0);
@@ -483,3 +487,51 @@
         assert_eq!(admission.poll(at(now + 100)), [(52, Decision::Run)]);
     }
 }
+
+mod hung_targets {
+    use super::*;
+
+    /// Returns an admission whose eight slots are taken by requests that never end.
+    fn hung_admission() -> Admission {
+        let mut admission = admission(8);
+        for id in 0..8 {
+            assert_eq!(admission.admit(at(0), slot_request(id, 300, 1_000)), Decision::Run);
+        }
+        admission
+    }
+
+    #[test]
+    fn a_target_that_answers_nothing_gets_one_request_at_a_time_until_it_does() {
+        let mut admission = hung_admission();
+        (0..8).for_each(|id| admission.done(at(1_000), id, None));
+        let request = |id| SlotRequest { elsewhere: true, ..slot_request(id, 1_400, 2_100) };
+        assert_eq!(admission.free_slots(at(1_000)), 1);
+        assert_eq!(admission.admit(at(1_001), request(10)), Decision::Run);
+        assert_eq!(admission.admit(at(1_002), request(11)), Decision::Refuse(Refusal::Busy));
+        // It answers again.
+        admission.done(at(1_100), 10, Some(99 * MS));
+        assert_eq!(admission.free_slots(at(1_100)), 8);
+    }
+
+    #[test]
+    fn its_load_is_reported_while_the_first_requests_still_hang() {
+        let mut admission = admission(8);
+        for id in 0..3 {
+            assert_eq!(admission.admit(at(0), slot_request(id, 300, 1_000)), Decision::Run);
+        }
+        assert_eq!(admission.free_slots(at(100)), 5);
+        assert_eq!(admission.free_slots(at(450)), 0);
+    }
+
+    #[test]
+    fn a_target_that_answers_some_is_not_taken_for_hung() {
+        let mut admission = hung_admission();
+        // One of two requests hangs.
+        admission.done(at(100), 0, Some(100 * MS));
+        assert_eq!(admission.admit(at(100), slot_request(20, 400, 1_100)), Decision::Run);
+        admission.done(at(200), 20, Some(100 * MS));
+        assert_eq!(admission.free_slots(at(600)), 1);
+        (1..8).for_each(|id| admission.done(at(1_000), id, None));
+        assert_eq!(admission.free_slots(at(1_000)), 8);
+    }
+}
--- a/crates/sidecar/src/peers/membership.rs
+++ b/crates/sidecar/src/peers/membership.rs
@@ -310,6 +310,10 @@
 
 /// Logs an event of the member list.
 fn log_event(code: Code, name: &Name) {
+    if code == Code::MemberJoined {
+        // A node that starts learns of all others at once.
+        return tracing::debug!(member = &**name, "members: {}", code.text());
+    }
     tracing::info!(member = &**name, code = code.number(), "members: {}", code.text());
 }
 
