--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,7 +6,6 @@
 //! them in virtual time.
 
 mod admission;
-mod age;
 mod bucket;
 mod bytes;
 mod call;
@@ -34,7 +33,6 @@
 mod watch;
 
 pub use admission::{Admission, Decision, Refusal, SlotRequest};
-pub use age::CallerTimeouts;
 pub use bucket::TokenBucket;
 pub use bytes::ByteBudget;
 pub use call::{AttemptError, CallSpec, CallState, Step};
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -15,7 +15,7 @@
 use world::{Code, Name, Repeat, RouteRule};
 
 use crate::entry::attempt::{Destination, execute, wait_for_silence};
-use crate::entry::callers::{caller_timeout_us, deadline, host};
+use crate::entry::callers::{deadline, host};
 use crate::entry::responses::{CallerResponse, error_response, forward};
 use crate::entry::state::Entry;
 use crate::guard::{Answer, Outcome};
@@ -51,9 +51,6 @@
     body: Bytes,
     arrived: Time,
     deadline: Time,
-    /// When an answer should be there: the route's latency objective after the caller's first
-    /// attempt, which may have been an earlier request.
-    aim: Time,
     /// Names of the nodes whose guards were asked.
     tried: Vec<Name>,
     /// Attempts that reached a target, or may have.
@@ -106,10 +103,6 @@
             return self.refuse_unroutable(Code::NoService, status, head);
         };
         let draw = self.rng.borrow_mut().random();
-        let age_us = caller_timeout_us(&head.headers).map_or(0, |timeout_us| {
-            let mut estimates = self.estimates.borrow_mut();
-            estimates.value_mut(&route.name).timeouts.age_us(timeout_us)
-        });
         let excluded = [headers::TIMEOUT_MS, headers::TARGET_INSTANCE, headers::CALLER_SERVICE];
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let mut request = ActiveRequest {
@@ -123,7 +116,6 @@
             body,
             arrived,
             deadline: deadline(arrived, &head.headers, route.timeout_us),
-            aim: arrived.after(route.aim_us.saturating_sub(age_us)),
             tried: Vec::new(),
             reached: 0,
             attempts: 0,
@@ -288,6 +280,7 @@
         let begun = entry.clock.now();
         let estimate =
             entry.estimates.borrow_mut().value_mut(&self.route.name).request(self.body.len());
+        let aim = self.arrived.after(self.route.aim_us);
         let attempt = Attempt {
             id: self.id.clone(),
             service: self.service.clone(),
@@ -297,7 +290,7 @@
             fields: self.fields.clone(),
             length: self.body.len() as u64,
             left_us: self.deadline.since(begun).saturating_sub(RETURN_US),
-            aim_us: self.aim.since(begun).saturating_sub(RETURN_US),
+            aim_us: aim.since(begun).saturating_sub(RETURN_US),
             work_us: estimate.work_us as u64,
             priority: self.route.priority,
             elsewhere,
@@ -348,8 +341,8 @@
         let now = self.entry.clock.now();
         let work_us =
             self.entry.estimates.borrow_mut().value_mut(&self.route.name).request(0).work_us;
-        let aim_us = self.aim.since(now).saturating_sub(RETURN_US);
-        let latest_us = aim_us as f64 - work_us * HEDGE_WORK_FACTOR;
+        let aim = self.arrived.after(self.route.aim_us.saturating_sub(RETURN_US));
+        let latest_us = aim.since(now) as f64 - work_us * HEDGE_WORK_FACTOR;
         Some(now.after(latest_us.max(work_us * HEDGE_DELAY_FACTOR) as u64))
     }
 
--- a/crates/sidecar/src/entry/estimates.rs
+++ b/crates/sidecar/src/entry/estimates.rs
@@ -1,6 +1,6 @@
 //! What an entry has measured of each route's requests, and its retry budgets for each service.
 
-use policy::{CallerTimeouts, Median, RequestEstimate, RetryBudget};
+use policy::{Median, RequestEstimate, RetryBudget};
 use world::Name;
 
 /// Weight of one answer in the exponentially weighted average of answer sizes.
@@ -15,18 +15,15 @@
 const INITIAL_BYTES: f64 = 1_000.0;
 
 /// Estimates for the requests of one route, from earlier answers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct RouteEstimate {
     work_us: Median,
     bytes: f64,
-    /// The timeouts that callers state.
-    pub timeouts: CallerTimeouts,
 }
 
 impl Default for RouteEstimate {
     fn default() -> RouteEstimate {
-        let work_us = Median::new(INITIAL_WORK_US, WORK_STEP);
-        RouteEstimate { work_us, bytes: INITIAL_BYTES, timeouts: CallerTimeouts::default() }
+        RouteEstimate { work_us: Median::new(INITIAL_WORK_US, WORK_STEP), bytes: INITIAL_BYTES }
     }
 }
 
