Link again to nodes that went down, for half a minute

Cause: a node that stops says that it leaves, and its peers then linked to it no more. Test a_node_that_restarts_while_the_store_is_down_serves_through_its_peers failed first. Change: links to members that were selected and are down are tried for 30 s.

--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -129,6 +129,11 @@
         self.find(name).ok().map(|at| &self.records[at].member)
     }
 
+    /// Returns whether another member is known and up.
+    pub fn is_up(&self, name: &str) -> bool {
+        self.member(name).is_some_and(Member::is_up)
+    }
+
     /// Returns how many other nodes of this node's data centre are up and sort before it by name.
     pub fn rank(&self) -> usize {
         let before = self.up().take_while(|member| member.name < self.local.name);
--- a/crates/sidecar/src/peers/selection.rs
+++ b/crates/sidecar/src/peers/selection.rs
@@ -25,6 +25,9 @@
 const REPLACE_AFTER_US: u64 = 1_000_000;
 /// A link that is not needed is given up after no request used it for this long, in microseconds.
 const RELEASE_AFTER_US: u64 = 20_000_000;
+/// A node that went down is linked to again for this long, in microseconds: it may restart while it
+/// can learn of no other node, since the store is down too.
+const RETURN_US: u64 = 30_000_000;
 /// A node without a link is forgotten after this time, in microseconds.
 const FORGET_AFTER_US: u64 = 60_000_000;
 /// The time after which a link that both ends gave up is closed. The longest requests have ended.
@@ -55,13 +58,15 @@
         }
     }
 
-    /// Wants links to the selected nodes, and to no others.
+    /// Wants links to the selected nodes, and for a while to those that went down since they were
+    /// selected.
     fn select_links(self: &Rc<Peers>) {
         let now = self.clock.now();
         let wanted = self.selected(now);
         self.directory.for_each(|peer| {
             if peer.wanted_until.get() == Time::NEVER {
-                peer.wanted_until.set(now);
+                let is_up = self.membership.members.borrow().is_up(&peer.node().name);
+                peer.wanted_until.set(if is_up { now } else { now.after(RETURN_US) });
             }
         });
         for node in wanted {
--- a/crates/sidecar/tests/operators.rs
+++ b/crates/sidecar/tests/operators.rs
@@ -169,3 +169,16 @@
     // Six registrations, each a write and a read, and two watchers.
     assert!(calls <= 6 * 2 + 2 * 3, "{calls} calls by six nodes at their start");
 }
+
+#[tokio::test]
+async fn a_node_that_restarts_while_the_store_is_down_serves_through_its_peers() {
+    let mut deployment = start(&[("dc-1", "a"), ("dc-1", "b"), ("dc-1", "a")]).await;
+    deployment.vms.iter().for_each(|vm| vm.store_endpoint.set_fault(StoreFault::Reset));
+    // A planned stop: the node says that it leaves.
+    deployment.vms[1].terminate().await;
+    assert!(deployment.vms[1].exits_within(Duration::from_secs(6)).await);
+    deployment.start_node(1);
+    let within = Duration::from_secs(3);
+    let serves = eventually(within, async || status(&deployment, 1, "/safe/x").await == 200).await;
+    assert!(serves, "no peer has linked to the node");
+}
