Wait for a link with the first request of a service

Cause: in a fleet with more than four services a node links to a service's targets when a request first uses it, and refused that request at once. Test the_first_request_of_a_service_waits_for_a_link_where_there_are_many_services failed without the wait (503 on the second of twelve services). Change: the first request waits for a link, 300 ms at most.

--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -140,6 +140,15 @@
         before.filter(|member| member.data_centre == self.local.data_centre).count()
     }
 
+    /// Returns the number of services of the other members that are up.
+    pub fn services(&self) -> usize {
+        let mut names: Vec<&Name> =
+            self.up().filter_map(|member| member.service.as_ref()).collect();
+        names.sort_unstable();
+        names.dedup();
+        names.len()
+    }
+
     /// Returns the number of data centres with members that are up.
     pub fn data_centres(&self) -> usize {
         let all = self.up().chain([&self.local]);
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -126,7 +126,7 @@
             target_us: 0,
             detail: String::new(),
         };
-        self.peers.use_service(&request.service);
+        self.peers.use_service(&request.service).await;
         self.budgets
             .borrow_mut()
             .value_mut(&request.service)
--- a/crates/sidecar/src/peers/selection.rs
+++ b/crates/sidecar/src/peers/selection.rs
@@ -18,6 +18,10 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
 /// Up to this many services are linked to at once; of more, only those that requests use.
 const PRELINKED_SERVICES: usize = 4;
+/// How long the first request of a service waits for a link to one of its targets.
+const FIRST_LINK_WAIT: Duration = Duration::from_millis(300);
+/// How often that request checks for a link.
+const LINK_CHECK: Duration = Duration::from_millis(10);
 /// A service counts as used for this long after a request, in microseconds.
 const USE_RETENTION_US: u64 = 60_000_000;
 /// A node that could not be linked to, or whose target refuses requests, for this long is replaced,
@@ -45,19 +49,38 @@
         }
     }
 
-    /// Records that a request uses a service, so that links to its targets are kept.
-    pub fn use_service(&self, service: &Name) {
+    /// Records that a request uses a service, so that links to its targets are kept. If none were
+    /// kept before, waits until the first one is open, or for [`FIRST_LINK_WAIT`].
+    pub async fn use_service(&self, service: &Name) {
         let now = self.clock.now();
-        let mut used = self.used_services.borrow_mut();
-        match used.binary_search_by(|(name, _)| name.cmp(service)) {
-            Ok(at) => used[at].1 = now,
-            Err(at) => {
-                used.insert(at, (service.clone(), now));
-                self.membership.changed.notify_one();
+        let is_unused = {
+            let mut used = self.used_services.borrow_mut();
+            match used.binary_search_by(|(name, _)| name.cmp(service)) {
+                Ok(at) => now.since(std::mem::replace(&mut used[at].1, now)) >= USE_RETENTION_US,
+                Err(at) => {
+                    used.insert(at, (service.clone(), now));
+                    true
+                }
             }
+        };
+        if is_unused && self.membership.members.borrow().services() > PRELINKED_SERVICES {
+            self.membership.changed.notify_one();
+            let linked = async {
+                while !self.is_linked_to(service) {
+                    tokio::time::sleep(LINK_CHECK).await;
+                }
+            };
+            let _ = tokio::time::timeout(FIRST_LINK_WAIT, linked).await;
         }
     }
 
+    /// Returns whether a target of a service can be sent a request.
+    fn is_linked_to(&self, service: &Name) -> bool {
+        let mut is_linked = self.guard.serves(service);
+        self.directory.for_each(|peer| is_linked |= peer.serves(service));
+        is_linked
+    }
+
     /// Wants links to the selected nodes, and for a while to those that went down since they were
     /// selected.
     fn select_links(self: &Rc<Peers>) {
--- a/crates/sidecar/tests/peers.rs
+++ b/crates/sidecar/tests/peers.rs
@@ -47,3 +47,28 @@
         assert_eq!(links, before, "{}", vm.name);
     }
 }
+
+#[tokio::test]
+async fn the_first_request_of_a_service_waits_for_a_link_where_there_are_many_services() {
+    const SERVICES: [&str; 12] = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"];
+    let vms = SERVICES.map(|service| ("dc-1", service));
+    let mut deployment = Deployment::prepare(NODE, &vms).await;
+    deployment.start_nodes().await;
+    let routes = SERVICES.map(|service| (format!("/{service}/"), service));
+    let routes: Vec<_> =
+        routes.iter().map(|(prefix, service)| (prefix.as_str(), *service, "safe")).collect();
+    deployment.set_routes(&routes);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut links = 0;
+    // The node three places before a target's does not probe it, nor the other way round.
+    for (at, service) in SERVICES.iter().enumerate() {
+        let path = format!("/{service}/x");
+        let request = TestRequest { id: service, path: &path, ..TestRequest::default() };
+        let answer = deployment.send_request((at + 3) % 12, &request).await.unwrap();
+        assert_eq!(answer.status, 200, "{service}: {answer:?}");
+        links += deployment.vms[at].counter("bamboowheel_links_total").await.unwrap();
+    }
+    // Each node is linked to those that it probes and those that probe it, and to one for its
+    // request.
+    assert!(links < 12 * 11, "{links} links were opened");
+}
