Move the target's heartbeats to a file of their own; no wire names in a test

Change: code is moved, unchanged, to guard/heartbeats.rs; the malformed requests and the heartbeat of another service come from the stand-in.

--- a/crates/sidecar/src/guard/mod.rs
+++ b/crates/sidecar/src/guard/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod bodies;
 mod crashes;
+mod heartbeats;
 mod incarnations;
 mod pool;
 mod probe;
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -4,19 +4,18 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use platform::heartbeat::Heartbeat;
 use platform::settings::WarmupLimits;
 use policy::{
     Admission, CrashNotice, Crashes, Decision, Refusal, Report, SlotRequest, Time, TokenBucket,
 };
-use runtime::{Clock, wall_ms};
+use runtime::Clock;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use wire::link::{Attempt, Life, Status};
-use world::{Name, Ruleset};
+use world::Name;
 
 use crate::configuration::ActiveRuleset;
 use crate::guard::bodies::BodyMemory;
-use crate::guard::incarnations::{HeartbeatKind, Incarnations};
+use crate::guard::incarnations::Incarnations;
 use crate::guard::pool::Pool;
 use crate::guard::probe;
 use crate::metrics::Metrics;
@@ -57,10 +56,10 @@
 pub(super) struct State {
     pub(super) admission: Admission,
     pub(super) target: Option<Target>,
-    incarnations: Incarnations,
+    pub(super) incarnations: Incarnations,
     /// Why the target gets no requests, if it gets none: it leaves, or it is suspected. Reasons of
     /// the node or its data centre are not held here.
-    target_refusal: Option<Refusal>,
+    pub(super) target_refusal: Option<Refusal>,
     /// Requests that wait, sorted by their slot's id.
     waiters: Vec<(u64, Waiter)>,
     /// The id of the last slot that was requested.
@@ -98,7 +97,7 @@
     /// The name of this node.
     pub(super) node_name: Name,
     /// The service of this VM by its settings.
-    vm_service: Name,
+    pub(super) vm_service: Name,
     warmup_limits: Cell<WarmupLimits>,
     /// Whether the node will drain soon, and reports its target as closed already.
     drain_announced: Cell<bool>,
@@ -253,152 +252,6 @@
         self.warmup_limits.set(limits);
     }
 
-    /// Returns whether a service is the VM's or one of the ruleset's, or whether there is no ruleset
-    /// yet.
-    fn is_known_service(&self, service: &str) -> bool {
-        let has_it = |rules: Rc<Ruleset>| rules.routing.service(service).is_some();
-        *self.vm_service == *service || self.rules.current().is_none_or(has_it)
-    }
-
-    /// Handles a heartbeat of the target: records the target, its slots, and whether it is cold or
-    /// leaves. A stale heartbeat is ignored. Returns false if it names a service that the ruleset
-    /// does not have, so that it is not from a target that can be used.
-    pub fn heartbeat(self: &Rc<Guard>, heartbeat: Heartbeat) -> bool {
-        let now = self.clock.now();
-        if !self.is_known_service(&heartbeat.service) {
-            tracing::warn!(
-                id = &*heartbeat.id,
-                service = &*heartbeat.service,
-                "target: a heartbeat names an unknown service"
-            );
-            return false;
-        }
-        let life = Life { id: heartbeat.id.clone(), born: heartbeat.born };
-        let mut state = self.state.borrow_mut();
-        let kind = state.incarnations.record_heartbeat(&heartbeat);
-        if kind == HeartbeatKind::Stale {
-            tracing::debug!(
-                id = &*heartbeat.id,
-                sequence = heartbeat.sequence,
-                "target: stale heartbeat ignored"
-            );
-            return true;
-        }
-        let before = (state.target.as_ref().map(|target| target.address), state.target_refusal);
-        if kind == HeartbeatKind::New {
-            tracing::info!(
-                id = &*heartbeat.id,
-                born = heartbeat.born,
-                service = &*heartbeat.service,
-                slots = heartbeat.slots,
-                cold_us = heartbeat.cold_us,
-                "target: new incarnation"
-            );
-            state.admission.set_warmup(now, 0);
-            state.target_refusal = None;
-            self.pool.clear();
-        }
-        state.target = Some(Target {
-            life: life.clone(),
-            service: heartbeat.service.clone(),
-            address: heartbeat.address,
-        });
-        state.admission.set_slots(heartbeat.slots);
-        if heartbeat.cold_us > 0 {
-            let limit = self.cold_limit(&heartbeat.service);
-            state.admission.set_warmup(now.after(heartbeat.cold_us), limit);
-        }
-        if heartbeat.leaving && !state.incarnations.is_gone(&life) {
-            tracing::info!(id = &*life.id, sequence = heartbeat.sequence, "target: leaving");
-            state.incarnations.mark_gone(life.clone());
-        }
-        if state.incarnations.is_gone(&life) {
-            state.target_refusal = Some(Refusal::Leaving);
-        } else if state.target_refusal == Some(Refusal::NoTarget) && kind == HeartbeatKind::Current
-        {
-            // The same incarnation still sends heartbeats, so the target is not suspected any more.
-            state.target_refusal = None;
-        }
-        let changed =
-            before != (Some(heartbeat.address), state.target_refusal) || kind == HeartbeatKind::New;
-        drop(state);
-        if changed {
-            self.update_queue();
-            self.notify_peers();
-        }
-        true
-    }
-
-    /// Records a target that answered a health check before any heartbeat arrived. Does nothing if
-    /// a target is known already or the instance left.
-    pub(super) fn adopt(
-        self: &Rc<Guard>,
-        id: &Name,
-        service: Name,
-        address: SocketAddr,
-        slots: u32,
-        cold_us: u64,
-    ) {
-        let mut state = self.state.borrow_mut();
-        if state.target.is_some() {
-            return;
-        }
-        let Some(life) = state.incarnations.adopt(id) else { return };
-        tracing::info!(
-            id = &**id,
-            service = &*service,
-            slots,
-            cold_us,
-            "target: found by a health check"
-        );
-        state.admission.set_slots(slots);
-        let limit = self.cold_limit(&service);
-        state.admission.set_warmup(self.clock.now().after(cold_us), limit);
-        state.target = Some(Target { life, service, address });
-        drop(state);
-        self.update_queue();
-        self.notify_peers();
-    }
-
-    /// Handles the deregistration of a target, which is gone or about to stop. `born` is the start
-    /// time of its incarnation, if it was sent. Without it, the current incarnation of the id is
-    /// meant, or each that started until now if the id is not current or its start is unknown.
-    pub fn deregister(self: &Rc<Guard>, id: Name, born: Option<u64>) {
-        let mut state = self.state.borrow_mut();
-        let current = state.incarnations.current().filter(|life| life.id == id).cloned();
-        let life = match born {
-            Some(born) => Life { id: id.clone(), born },
-            None => current.clone().unwrap_or(Life { id: id.clone(), born: 0 }),
-        };
-        if life.born == 0 {
-            state.incarnations.mark_gone_before(id.clone(), wall_ms());
-        }
-        state.incarnations.mark_gone(life);
-        // If a health check found the target, its start time was unknown until `mark_gone` set it,
-        // so the current incarnation is read again.
-        let is_current =
-            state.incarnations.current().is_some_and(|life| state.incarnations.is_gone(life));
-        if current.is_none() || !is_current {
-            tracing::info!(id = &*id, born, "target: an unknown incarnation deregistered");
-            return;
-        }
-        tracing::info!(id = &*id, "target: deregistered");
-        state.target_refusal = Some(Refusal::Leaving);
-        drop(state);
-        self.update_queue();
-        self.notify_peers();
-    }
-
-    /// Records a leaving target that this node had acknowledged before it restarted, which a peer
-    /// still knows.
-    pub fn restore_leaving(&self, life: Life) {
-        let mut state = self.state.borrow_mut();
-        state.incarnations.mark_gone(life.clone());
-        if state.incarnations.current() == Some(&life) {
-            state.target_refusal = Some(Refusal::Leaving);
-        }
-    }
-
     /// Refuses the waiting requests if the guard refuses requests. Starts those that can run
     /// otherwise.
     pub fn update_queue(self: &Rc<Guard>) {
@@ -543,7 +396,7 @@
     }
 
     /// Returns the most requests that a cold target of a service is sent in any second.
-    fn cold_limit(&self, service: &str) -> u32 {
+    pub(super) fn cold_limit(&self, service: &str) -> u32 {
         let rules = self.rules.current();
         let rate = rules.and_then(|rules| Some(rules.routing.service(service)?.cold_rate));
         let rate = rate.unwrap_or_default();
@@ -566,7 +419,7 @@
     }
 
     /// Causes the status to be sent to every peer at once.
-    fn notify_peers(&self) {
+    pub(super) fn notify_peers(&self) {
         self.changes.send_modify(|count| *count += 1);
     }
 }
--- a/crates/sidecar/src/peers/membership.rs
+++ b/crates/sidecar/src/peers/membership.rs
@@ -27,8 +27,6 @@
 /// The number of nodes that is assumed until the list was compared with a peer's. Bounds that hold
 /// over all nodes are divided by it, so that a number too high is safe.
 const UNKNOWN_FLEET: usize = 1_000;
-/// Fewest and most members that are taken to be this node's own, when a bound is divided among all.
-const MIN_FLEET: usize = 1;
 /// How long after a first start of the whole deployment no node takes over the watch, in
 /// microseconds. By then every node knows the others of its data centre.
 const FIRST_TAKEOVER_US: u64 = 1_500_000;
@@ -69,7 +67,7 @@
             syncs: Cell::new(0),
             begun_syncs: Cell::new(0),
             alone: Cell::new(false),
-            peak: Cell::new(MIN_FLEET),
+            peak: Cell::new(1),
             changed: Notify::new(),
         }
     }
--- a/crates/sidecar/tests/malformed.rs
+++ b/crates/sidecar/tests/malformed.rs
@@ -8,7 +8,7 @@
 use policy::{Health, Member, MemberMessage, MessageKind, Watcher};
 use quinn::{Connection, Endpoint};
 use standin::caller::{Caller, TestRequest};
-use standin::deployment::{Deployment, eventually};
+use standin::deployment::{Deployment, eventually, garbage};
 use wire::link::{Attempt, Datagram, Frame, Hello, Life, Node, Status};
 use wire::tls::{self, SERVER_NAME, Timing, Trust};
 
@@ -32,24 +32,6 @@
     }
 }
 
-/// Bytes that begin no valid message of any protocol here, or one that is cut.
-fn garbage() -> Vec<Vec<u8>> {
-    vec![
-        vec![0],
-        vec![0xff; 2_000],
-        (0..=255).collect(),
-        b"GET".to_vec(),
-        b"GET / HTTP/1.1\r\n".to_vec(),
-        b"GET / HTTP/9.9\r\n\r\n".to_vec(),
-        b"POST /safe/x HTTP/1.1\r\nhost: test.example\r\ncontent-length: -1\r\n\r\n".to_vec(),
-        b"POST /safe/x HTTP/1.1\r\nhost: test.example\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n"
-            .to_vec(),
-        b"GET /safe/x HTTP/1.1\r\nhost: \xff\r\nx-timeout-ms: 99999999999999999999\r\n\r\n"
-            .to_vec(),
-        b"GET /safe/x HTTP/1.1\r\nhost: test.example\r\nx-timeout-ms: NaN\r\n\r\n".to_vec(),
-    ]
-}
-
 #[tokio::test]
 async fn garbage_on_any_socket_changes_nothing() {
     let mut deployment = started_deployment().await;
@@ -88,10 +70,8 @@
 #[tokio::test]
 async fn a_heartbeat_of_an_unknown_service_names_no_target() {
     let mut deployment = started_deployment().await;
-    let body = "{\"service\":\"zz\",\"address\":\"127.0.0.1:1\",\"slots\":8,\"state\":\"ready\",\
-                \"warmupLeftS\":0,\"sequence\":9,\"born\":99999999999999}";
-    let path = "/api/rpc?call=instances.heartbeat&of=i-other";
-    assert_eq!(deployment.vms[0].send_control(path, body).await, 400);
+    let heartbeat = deployment.vms[0].heartbeat_of_service("zz", "i-other", 99_999_999_999_999);
+    assert_eq!(heartbeat.send().await, 400);
     check(&mut deployment, "an unknown service").await;
 }
 
@@ -220,7 +200,7 @@
         check(&mut deployment, "frames").await;
         connection.close(0u32.into(), b"");
     }
-    // The nodes refute what was said of them, and still find each other after a restart.
+    // The nodes refute claims about them, and still find each other after a restart.
     deployment.vms[1].kill().await;
     deployment.start_node(1);
     let ready = eventually(Duration::from_secs(5), async || deployment.vms[1].is_ready().await);
