Accept what is left in the listener's queue before it is closed

Traced in the code: the runtime's accept answers from what the last poll saw, so that connections that arrived since were not taken and were reset with the listener. Change: the queue is emptied by system calls on the listener itself.

--- a/crates/sidecar/src/entry/callers.rs
+++ b/crates/sidecar/src/entry/callers.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::FutureExt;
 use http::header::{self, HeaderValue};
 use http::request::Parts;
 use http::{HeaderMap, Request, StatusCode};
@@ -105,9 +104,15 @@
             }
         }
     }
-    // Closing the listener resets the connections that wait to be accepted.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        start(stream);
+    // Closing the listener resets the connections that wait to be accepted. The runtime does not
+    // know yet of those that arrived since it last polled.
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        if stream.set_nonblocking(true).is_ok()
+            && let Ok(stream) = TcpStream::from_std(stream)
+        {
+            start(stream);
+        }
     }
 }
 
