--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -37,11 +37,13 @@
 const LATER_START_DELAY: Duration = Duration::from_millis(30);
 /// The longest pause between two connection attempts.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
-/// The time after which an unused link is closed. The longest calls on it have ended by then.
-const CLOSE_DELAY: Duration = Duration::from_secs(10);
+/// The time after which a link that neither end uses any more is closed. The longest requests on it
+/// have ended by then.
+pub(super) const CLOSE_DELAY: Duration = Duration::from_secs(10);
 /// How long a node that watches the store waits for a newer ruleset from there before it fetches it
 /// from a peer.
 const FETCH_DELAY: Duration = Duration::from_millis(150);
+
 /// What the links need to know of this node.
 #[derive(Clone, Debug)]
 pub struct PeerSettings {
--- a/crates/sidecar/src/peers/selection.rs
+++ b/crates/sidecar/src/peers/selection.rs
@@ -9,7 +9,7 @@
 use world::Name;
 
 use crate::peers::directory::Peer;
-use crate::peers::links::Peers;
+use crate::peers::links::{CLOSE_DELAY, Peers};
 use crate::peers::membership::node_of;
 
 /// The time between two selections while nothing changes.
@@ -34,8 +34,6 @@
 const RETURN_US: u64 = 30_000_000;
 /// A node without a link is forgotten after this time, in microseconds.
 const FORGET_AFTER_US: u64 = 60_000_000;
-/// The time after which a link that both ends gave up is closed. The longest requests have ended.
-const CLOSE_DELAY: Duration = Duration::from_secs(10);
 
 impl Peers {
     /// Selects the nodes to link to whenever the member list changes, for as long as the process
