Remove a row only of the process that is gone, or of an earlier one

Cause: read once more, the removal of a row took whatever row it had just read, so that a node that came back with a new row could lose it. Removal had no test. Change: the row's start is compared with that of the member that is down. Measured: a test in virtual time that one member, the next by name, removes the row, two minutes after the death, and once; it holds as first run. The store's call itself has no test.

--- a/crates/policy/tests/members.rs
+++ b/crates/policy/tests/members.rs
@@ -250,3 +250,21 @@
     }
     assert_eq!(reads, [120, 120, 2, 2, 2, 2], "polls in two minutes, by rank");
 }
+
+#[test]
+fn one_member_removes_the_row_of_another_that_is_gone() {
+    let mut cluster = Cluster::open(12);
+    cluster.run(5);
+    cluster.frozen.insert(4);
+    cluster.run(60);
+    let responsible = |cluster: &Cluster| -> Vec<usize> {
+        let now = Time(cluster.now);
+        let removes = |at: &usize| cluster.nodes[*at].rows_to_remove(now) == [name(4)];
+        (0..12).filter(|at| *at != 4).filter(removes).collect()
+    };
+    assert!(responsible(&cluster).is_empty(), "it may come back");
+    cluster.run(120);
+    assert_eq!(responsible(&cluster), [5], "the next by name");
+    cluster.nodes[5].row_removed(&name(4));
+    assert!(responsible(&cluster).is_empty());
+}
--- a/crates/sidecar/src/peers/registry.rs
+++ b/crates/sidecar/src/peers/registry.rs
@@ -96,7 +96,11 @@
             tokio::time::sleep(REMOVAL_CHECK).await;
             let gone = self.membership.members.borrow().rows_to_remove(self.clock.now());
             for name in gone {
-                match remove_row(&store, &name).await {
+                let started = {
+                    let members = self.membership.members.borrow();
+                    members.member(&name).map_or(0, |member| member.started)
+                };
+                match remove_row(&store, &name, started).await {
                     Ok(()) => tracing::info!(name = &*name, "registry: removed a row"),
                     Err(error) => {
                         tracing::info!(name = &*name, %error, "registry: cannot remove a row");
@@ -194,10 +198,14 @@
     row.key == *own.name && decode(row).is_some_and(|member| place(&member) == place(own))
 }
 
-/// Removes a row if it is still the one that was read.
-async fn remove_row(store: &StoreClient, name: &Name) -> Result<(), Error> {
+/// Removes a row if it is still the one that was read, and not of a later process than the one that
+/// started at `started`.
+async fn remove_row(store: &StoreClient, name: &Name, started: u64) -> Result<(), Error> {
     let rows = store.read_from(TABLE, name, 1).await?.rows;
-    match rows.first().filter(|row| row.key == **name) {
+    let is_gone = |row: &&Row| {
+        row.key == **name && decode(row).is_some_and(|member| member.started <= started)
+    };
+    match rows.first().filter(is_gone) {
         Some(row) => store.remove(TABLE, name, row.version).await.map(|_| ()),
         None => Ok(()),
     }
