Log and measure how long a revision was known before it was in force

Cause: logs could not tell a node that nobody told of a change from one that knew of it and could not fetch it, nor a silent watch from a lost one; a fetch that failed left no line at all. Change: the line of a new ruleset names the newest revision heard of and the wait; a takeover of the watch, a failed fetch and the store's silence are logged; gauges of the revisions, a histogram of the wait.

--- a/crates/sidecar/src/configuration/active.rs
+++ b/crates/sidecar/src/configuration/active.rs
@@ -3,9 +3,13 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use policy::Time;
+use runtime::Clock;
 use tokio::sync::watch;
 use world::Ruleset;
 
+use crate::metrics::Metrics;
+
 /// The ruleset in force. It is only ever replaced by a newer one.
 #[derive(Debug)]
 pub struct ActiveRuleset {
@@ -13,13 +17,28 @@
     revision: watch::Sender<u64>,
     /// Whether this node receives changes of the operator's table from the store at the moment.
     watching: Cell<bool>,
+    /// The newest revision that this node has heard of, and when it first did. Not older than the
+    /// one in force.
+    heard: Cell<(u64, Time)>,
+    /// When the store last answered this node's watch; its start if it never did.
+    answered_at: Cell<Time>,
+    clock: Clock,
+    metrics: Rc<Metrics>,
 }
 
 impl ActiveRuleset {
     /// Creates it without a ruleset.
-    pub fn new() -> ActiveRuleset {
+    pub fn new(clock: Clock, metrics: Rc<Metrics>) -> ActiveRuleset {
         let (revision, _) = watch::channel(0);
-        ActiveRuleset { current: RefCell::default(), revision, watching: Cell::new(false) }
+        ActiveRuleset {
+            current: RefCell::default(),
+            revision,
+            watching: Cell::new(false),
+            heard: Cell::default(),
+            answered_at: Cell::new(clock.now()),
+            clock,
+            metrics,
+        }
     }
 
     /// Returns the ruleset in force. None until the first one was read or received.
@@ -37,6 +56,14 @@
         self.revision.subscribe()
     }
 
+    /// Records that a node of the deployment has a revision.
+    pub fn record_heard(&self, revision: u64) {
+        if revision > self.heard.get().0 {
+            self.heard.set((revision, self.clock.now()));
+            self.metrics.heard_revision.set(revision);
+        }
+    }
+
     /// Replaces the ruleset if the given one is newer, and returns whether it was. `source` is
     /// logged: the store, or the peer that sent the ruleset.
     pub fn update(&self, ruleset: Ruleset, source: &str) -> bool {
@@ -51,9 +78,15 @@
             return false;
         }
         let (revision, version) = (ruleset.revision, ruleset.routing.version);
+        self.record_heard(revision);
+        let (heard, heard_at) = self.heard.get();
+        let waited_us = self.clock.now().since(heard_at);
+        self.metrics.record_ruleset(revision, waited_us as f64 / 1e6);
         tracing::info!(
             revision,
             version,
+            heard,
+            waited_us,
             routes = ruleset.routing.len(),
             out = ?ruleset.out,
             source,
@@ -78,14 +111,19 @@
     }
 
     /// Records whether the store answers this node's watch, and logs each change of that with
-    /// `detail`, the error.
+    /// `detail`, the error, and the time since the last answer.
     pub fn set_watching(&self, watching: bool, detail: &str) {
+        let now = self.clock.now();
+        let silent_us = now.since(self.answered_at.get());
+        if watching {
+            self.answered_at.set(now);
+        }
         if self.watching.replace(watching) == watching {
             return;
         }
         match watching {
-            true => tracing::info!("store: watching the operator's table"),
-            false => tracing::warn!(detail, "store: cannot watch the operator's table"),
+            true => tracing::info!(silent_us, "store: watching the operator's table"),
+            false => tracing::warn!(detail, silent_us, "store: cannot watch the operator's table"),
         }
     }
 }
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -1,8 +1,11 @@
 //! Counters and histograms of a node, in the Prometheus text format.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
@@ -10,6 +13,9 @@
 const LATENCY_BOUNDS_S: [f64; 13] =
     [0.01, 0.02, 0.04, 0.08, 0.12, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.5, 5.0];
 
+/// Upper bounds of the buckets for a ruleset's wait. A change has to be in force within 2 to 4 s.
+const RULESET_BOUNDS_S: [f64; 7] = [0.005, 0.02, 0.1, 0.5, 1.0, 2.0, 4.0];
+
 /// Labels of the latency histogram.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabels {
@@ -35,6 +41,12 @@
     pub links_opened: Counter,
     /// Log lines about requests that were dropped because of the limit per second.
     pub dropped_lines: Counter,
+    /// The revision of the ruleset in force.
+    revision: Gauge<u64, AtomicU64>,
+    /// The newest revision that the node has heard of.
+    pub heard_revision: Gauge<u64, AtomicU64>,
+    /// Seconds from the first news of a revision until it was in force.
+    ruleset_wait: Histogram,
 }
 
 impl Default for Metrics {
@@ -43,6 +55,16 @@
         let latency: Family<CallLabels, Histogram> =
             Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S));
         registry.register("call_seconds", "Time until the answer", latency.clone());
+        let ruleset_wait = Histogram::new(RULESET_BOUNDS_S);
+        let help = "Time from the first news of a revision until it was in force";
+        registry.register("ruleset_wait_seconds", help, ruleset_wait.clone());
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::<u64, AtomicU64>::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let revision = gauge("ruleset_revision", "Revision of the ruleset in force");
+        let heard_revision = gauge("ruleset_heard_revision", "Newest revision heard of");
         let mut counter = |name: &str, help: &str| {
             let counter = Counter::default();
             registry.register(name, help, counter.clone());
@@ -55,6 +77,9 @@
             repeats: counter("repeats", "Attempts beyond the first of a request"),
             links_opened: counter("links", "Links to other nodes that were opened"),
             dropped_lines: counter("log_lines_dropped", "Log lines left out"),
+            revision,
+            heard_revision,
+            ruleset_wait,
             registry,
         }
     }
@@ -67,6 +92,12 @@
         self.latency.get_or_create(&labels).observe(seconds);
     }
 
+    /// Records that a ruleset is in force, `seconds` after the first news of its revision.
+    pub fn record_ruleset(&self, revision: u64, seconds: f64) {
+        self.revision.set(revision);
+        self.ruleset_wait.observe(seconds);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut out = String::new();
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -282,6 +282,7 @@
     /// Fetches a peer's ruleset if it is newer and the store does not send it soon. One ruleset is
     /// fetched at a time.
     fn fetch_newer_ruleset(self: &Rc<Peers>, peer: &Rc<Peer>) {
+        self.rules.record_heard(peer.revision());
         if peer.revision() <= self.rules.revision() || self.fetching.replace(true) {
             return;
         }
@@ -290,15 +291,25 @@
             if peers.rules.is_watching() {
                 tokio::time::sleep(FETCH_DELAY).await;
             }
-            if peer.revision() > peers.rules.revision()
-                && let Ok(Reply::Ruleset(Some(ruleset))) = peers.request(&peer, &Frame::Fetch).await
-            {
-                peers.rules.update(*ruleset, &peer.node().name);
+            if peer.revision() > peers.rules.revision() {
+                peers.fetch_ruleset(&peer).await;
             }
             peers.fetching.set(false);
         });
     }
 
+    /// Asks a peer for its ruleset, and replaces the one in force if that is newer.
+    async fn fetch_ruleset(&self, peer: &Peer) {
+        let name = peer.node().name;
+        match self.request(peer, &Frame::Fetch).await {
+            Ok(Reply::Ruleset(Some(ruleset))) => {
+                self.rules.update(*ruleset, &name);
+            }
+            Ok(_) => tracing::warn!(peer = &*name, "config: the reply is no ruleset"),
+            Err(error) => tracing::info!(peer = &*name, %error, "config: cannot fetch a ruleset"),
+        }
+    }
+
     /// Returns whether this node belongs to a data centre.
     pub fn is_same_data_centre(&self, data_centre: &Name) -> bool {
         self.local_node.data_centre == *data_centre
--- a/crates/sidecar/src/peers/membership.rs
+++ b/crates/sidecar/src/peers/membership.rs
@@ -291,8 +291,13 @@
             (members.rank(), members.data_centres())
         };
         let mut watchers = self.membership.watchers.borrow_mut();
-        let tries = watchers.should_watch(now, self.tries_watch.get(), rank, data_centres);
+        let tried = self.tries_watch.get();
+        let tries = watchers.should_watch(now, tried, rank, data_centres);
         self.tries_watch.set(tries);
+        if tries && !tried {
+            let known = watchers.list(now).len();
+            tracing::info!(rank, known, "config: this node takes over the watch of the store");
+        }
         tries
     }
 
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -139,7 +139,7 @@
 fn start(settings: &Settings, args: &Args) -> std::io::Result<RunningNode> {
     let clock = Clock::start();
     let metrics = Rc::new(Metrics::default());
-    let ruleset = Rc::new(ActiveRuleset::new());
+    let ruleset = Rc::new(ActiveRuleset::new(clock, metrics.clone()));
     let callers = entry::bind(settings.caller_address)?;
     let readiness = entry::bind(settings.readiness_address)?;
     let control = entry::bind(settings.control_address)?;
