Notice a silent connection to the store within two seconds

Cause: each watcher waits for one long poll; its answer was awaited for 3 s and 2 s more, keep-alive takes 1 s and two probes of 1 s, and after the failure the watcher paused for 0.2 s. All watchers poll at the same moment, since they all poll again after the same change. Class: waits in series that are chosen apart.

Evidence: the new test failed on the code before: no node had the change 3.0 s after its polls went silent.

Change: polls last 1.5 s, their answer may take 0.6 s more (doubled by each failure up to 2 s), and the first failure is retried at once on a new connection.

The test of an idle node's calls asked for none in 2 s, which was the poll's length and no target; it now asks for at most one call a second of each of two watchers and none of other nodes, where before nobody counted by node.

--- a/crates/sidecar/src/configuration/watcher.rs
+++ b/crates/sidecar/src/configuration/watcher.rs
@@ -12,14 +12,21 @@
 
 use crate::configuration::ActiveRuleset;
 
-/// Length of a long poll. Longer polls make fewer calls, which are priced; but if the store accepts
-/// a call and never answers it, the node notices only after this time.
-const LONG_POLL: Duration = Duration::from_secs(3);
+/// Length of a long poll. Longer polls make fewer calls, which are priced; but if its connection goes
+/// silent, the node notices only after this time and [`MIN_PATIENCE`]. A node has to be in touch with
+/// the store again 3 s after that, and its peers still have to receive what it reads.
+const LONG_POLL: Duration = Duration::from_millis(1_500);
+/// How much longer than the poll the first wait for an answer is; the store usually answers within
+/// 4 ms. It doubles with each further failure, since the store may be slow.
+const MIN_PATIENCE: Duration = Duration::from_millis(600);
+/// The longest patience.
+const MAX_PATIENCE: Duration = Duration::from_secs(2);
 /// How often a node without a ruleset checks whether it has to read the table.
 const READ_CHECK: Duration = Duration::from_millis(50);
 /// How often another node checks whether it has to watch the table.
 const WATCH_CHECK: Duration = Duration::from_millis(100);
-/// The pause after a first failure. It doubles with each further one.
+/// The pause after a second failure in a row. It doubles with each further one. After a first one the
+/// call is made again at once, on a new connection.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
 /// The longest pause, so that a change is in force within 2 s of the store's return.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
@@ -61,7 +68,7 @@
     active: Rc<ActiveRuleset>,
     should_watch: impl Fn() -> bool,
 ) {
-    let mut backoff = MIN_BACKOFF;
+    let mut retry = Retry::default();
     let mut table: Option<TableState> = None;
     loop {
         if !should_watch() {
@@ -71,36 +78,65 @@
             tokio::time::sleep(if has_rules { WATCH_CHECK } else { READ_CHECK }).await;
             continue;
         }
-        match poll(&store, &active, &mut table).await {
+        match poll(&store, &active, &mut table, retry).await {
             Ok(()) => {
-                backoff = MIN_BACKOFF;
+                retry = Retry::default();
                 active.set_watching(true, "");
             }
             Err(Error::Compacted) => {
                 tracing::info!("config: the store dropped its history, reading the whole table");
                 table = None;
             }
+            Err(error) if retry.failures == 0 && active.is_watching() => {
+                tracing::info!(%error, "config: a poll of the store failed");
+                retry.failures = 1;
+            }
             Err(error) => {
                 active.set_watching(false, &error.to_string());
                 let jitter = rand::rng().random_range(0.75..1.25);
-                tokio::time::sleep(backoff.mul_f64(jitter)).await;
-                backoff = (backoff * 2).min(MAX_BACKOFF);
+                tokio::time::sleep(retry.backoff().mul_f64(jitter)).await;
+                retry.failures += 1;
             }
         }
     }
 }
 
+/// How a call to the store is made after failures.
+#[derive(Clone, Copy, Debug, Default)]
+struct Retry {
+    /// Failures in a row.
+    failures: u32,
+}
+
+impl Retry {
+    /// Returns the pause before the next call.
+    fn backoff(self) -> Duration {
+        let doublings = self.failures.saturating_sub(1).min(8);
+        (MIN_BACKOFF * (1 << doublings)).min(MAX_BACKOFF)
+    }
+
+    /// Returns how much longer than the length of a poll its answer may take.
+    fn patience(self) -> Duration {
+        (MIN_PATIENCE * (1 << self.failures.min(8))).min(MAX_PATIENCE)
+    }
+}
+
 /// Reads the whole table if nothing was read yet, else waits for its next changes.
 async fn poll(
     store: &StoreClient,
     active: &ActiveRuleset,
     table: &mut Option<TableState>,
+    retry: Retry,
 ) -> Result<(), Error> {
     // The first poll after a failure returns at once, so that the store's return is noticed.
-    let wait = if active.is_watching() { LONG_POLL } else { Duration::ZERO };
+    let is_first = retry.failures > 0 || !active.is_watching();
+    let wait = if is_first { Duration::ZERO } else { LONG_POLL };
     let rows = match table {
         None => store.read(operator::TABLE).await?,
-        Some(table) => store.changes(operator::TABLE, table.revision, wait).await?,
+        Some(table) => {
+            let (after, patience) = (table.revision, retry.patience());
+            store.changes(operator::TABLE, after, wait, patience).await?
+        }
     };
     let table = table.get_or_insert_default();
     table.apply(&rows);
--- a/crates/sidecar/tests/operators.rs
+++ b/crates/sidecar/tests/operators.rs
@@ -4,6 +4,7 @@
 
 use standin::caller::TestRequest;
 use standin::deployment::{Deployment, Vm, eventually};
+use standin::proxy::LinkFaults;
 use standin::store::StoreFault;
 
 const NODE: &str = env!("CARGO_BIN_EXE_bamboowheel-sidecar");
@@ -111,13 +112,19 @@
 
 #[tokio::test]
 async fn an_idle_node_makes_few_calls_to_the_store() {
-    let deployment = start(&[("dc-1", "a"), ("dc-1", "a")]).await;
+    let deployment = start(&[("dc-1", "a"); 4]).await;
     // A registration with a read of the nodes before and after it, a read of the operator's table,
     // and long polls.
     let calls = deployment.store.call_count();
-    assert!(calls <= 2 * 5, "{calls} calls by two nodes at their start");
-    tokio::time::sleep(Duration::from_secs(2)).await;
-    assert_eq!(deployment.store.call_count(), calls);
+    assert!(calls <= 4 * 5, "{calls} calls by four nodes at their start");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let counts = || deployment.vms.iter().map(|vm| vm.store_endpoint.call_count());
+    let before: Vec<u64> = counts().collect();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let mut calls: Vec<u64> = counts().zip(before).map(|(after, before)| after - before).collect();
+    calls.sort_unstable();
+    // At most one call a second by each of the two watchers, and none by the others.
+    assert!(calls[..2] == [0, 0] && calls[3] <= 3, "calls in 3 s, by node: {calls:?}");
 }
 
 #[tokio::test]
@@ -223,3 +230,56 @@
         }
     }
 }
+
+/// After a disruption of its connections a node has to be back in touch within this time.
+const CONTACT_LIMIT: Duration = Duration::from_secs(3);
+
+/// Which open connections go silent, while new ones work.
+struct Silence {
+    store: bool,
+    links: bool,
+    /// How long after the silence the change is written.
+    change: Duration,
+}
+
+const SILENCES: [Silence; 5] = [
+    Silence { store: true, links: false, change: Duration::ZERO },
+    Silence { store: true, links: false, change: Duration::from_millis(900) },
+    Silence { store: false, links: true, change: Duration::ZERO },
+    Silence { store: true, links: true, change: Duration::ZERO },
+    Silence { store: true, links: true, change: Duration::from_millis(900) },
+];
+
+// Guards against a change that is in force too late since it is awaited on connections that have gone
+// silent: every long poll, just after it was sent, every link between nodes, or both.
+#[tokio::test]
+async fn a_change_is_in_force_in_time_after_open_connections_went_silent() {
+    let mut deployment = Deployment::prepare(NODE, &[("dc-1", "a"); 5]).await;
+    let store = deployment.store.clone();
+    let (mut polls, mut links) = (Vec::new(), Vec::new());
+    for vm in &mut deployment.vms {
+        polls.push(vm.add_store_proxy(&store).await);
+        links.push(vm.add_proxies(&LinkFaults::default()).await);
+    }
+    deployment.start_nodes().await;
+    for Silence { store, links: of_links, change } in SILENCES {
+        deployment.set_routes(&[("/safe/", "a", "safe")]);
+        // Every watcher has received that, and has sent its next poll.
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        if store {
+            polls.iter().for_each(|proxy| proxy.hang());
+        }
+        if of_links {
+            links.iter().for_each(|(proxy, _)| proxy.silence());
+        }
+        let silent = std::time::Instant::now();
+        tokio::time::sleep(change).await;
+        deployment.set_routes(&[("/new/", "a", "safe")]);
+        for at in 0..deployment.vms.len() {
+            let limit = CONTACT_LIMIT.saturating_sub(silent.elapsed());
+            let known = eventually(limit, async || deployment.is_current(at).await).await;
+            assert!(known, "store {store}, links {of_links}: vm-{at} after {:?}", silent.elapsed());
+        }
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+}
