Leave the list of watchers out of the reports

Cause: beacons already tell who watches five times a second; the copies in each report only cost processor time and bytes. Change: reports carry the status alone. The policy's model passes lists on in the same way, and its test of mass deaths holds.

--- a/crates/sidecar/src/peers/reports.rs
+++ b/crates/sidecar/src/peers/reports.rs
@@ -35,16 +35,8 @@
             self.own_view.borrow_mut().reported(self.clock.now(), status.report);
             let Ok(datagram) = wire::encode(&Datagram::Status(Box::new(status))) else { continue };
             let datagram = bytes::Bytes::from(datagram);
-            let watchers = self.watchers_datagram();
-            self.directory.for_each(|peer| {
-                // A report may get lost like any datagram, and the next one replaces it.
-                send_datagram(peer, &datagram);
-                if let Some(watchers) = &watchers
-                    && self.is_same_data_centre(&peer.data_centre())
-                {
-                    send_datagram(peer, watchers);
-                }
-            });
+            // A report may get lost like any datagram, and the next one replaces it.
+            self.directory.for_each(|peer| send_datagram(peer, &datagram));
         }
     }
 
