Ask another peer when one does not send its newer ruleset

Callers would see: requests handled by old routes on a node whose peer told it of a newer ruleset and then died or could not be reached.

Cause: a node fetches from one peer at a time and waits 1 s for it; what other peers report meanwhile is dropped, so that it may ask a second one only after their next report, up to 2 s later. 3 s in all, bound 2 to 3 s.

Evidence: the new test failed on the code before: with four peers that report a newer revision and send nothing, the ruleset was not in force after 2.02 s.

Change: when nothing came within 150 ms, another peer with a newer ruleset, chosen at random, is asked beside the first, until one has sent it.

--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -9,6 +9,7 @@
 use policy::{TargetView, Time};
 use quinn::{ClientConfig, Endpoint, EndpointConfig, TokioRuntime};
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use runtime::Clock;
 use wire::link::{Frame, Hello, Node, Reply};
 use wire::tls::{self, Identity, SERVER_NAME, Timing, Trust};
@@ -43,6 +44,9 @@
 /// How long a node that watches the store waits for a newer ruleset from there before it fetches it
 /// from a peer.
 const FETCH_DELAY: Duration = Duration::from_millis(150);
+/// How long a node waits for a peer's ruleset before it asks another peer as well: ten round trips
+/// between data centres and the time to send some hundred kilobytes.
+const FETCH_STEP: Duration = Duration::from_millis(150);
 
 /// What the links need to know of this node.
 #[derive(Clone, Debug)]
@@ -279,8 +283,7 @@
         self.fetch_newer_ruleset(peer);
     }
 
-    /// Fetches a peer's ruleset if it is newer and the store does not send it soon. One ruleset is
-    /// fetched at a time.
+    /// Fetches a newer ruleset if a peer has one and the store does not send it soon.
     fn fetch_newer_ruleset(self: &Rc<Peers>, peer: &Rc<Peer>) {
         self.rules.record_heard(peer.revision());
         if peer.revision() <= self.rules.revision() || self.fetching.replace(true) {
@@ -291,13 +294,38 @@
             if peers.rules.is_watching() {
                 tokio::time::sleep(FETCH_DELAY).await;
             }
-            if peer.revision() > peers.rules.revision() {
-                peers.fetch_ruleset(&peer).await;
-            }
+            peers.fetch_from_any(peer).await;
             peers.fetching.set(false);
         });
     }
 
+    /// Asks the peers that have a newer ruleset, beginning with `first`. The next one is asked when
+    /// none has sent it for a while, since a peer may have died or be cut off.
+    async fn fetch_from_any(self: &Rc<Peers>, first: Rc<Peer>) {
+        let mut changed = self.rules.subscribe();
+        let mut asked: Vec<Name> = Vec::new();
+        let mut next = Some(first).filter(|peer| peer.revision() > self.rules.revision());
+        while let Some(peer) = next {
+            asked.push(peer.node().name);
+            let peers = self.clone();
+            tokio::task::spawn_local(async move { peers.fetch_ruleset(&peer).await });
+            // Whether the ruleset changed or not, the peers tell whether there is a newer one.
+            let _ = tokio::time::timeout(FETCH_STEP, changed.changed()).await;
+            next = self.newer_peer(&asked);
+        }
+    }
+
+    /// Returns a linked peer, chosen at random, that has a newer ruleset and was not asked.
+    fn newer_peer(&self, asked: &[Name]) -> Option<Rc<Peer>> {
+        let own = self.rules.revision();
+        let mut newer = self.directory.all();
+        newer.retain(|peer| {
+            let is_asked = asked.iter().any(|name| peer.has_name(name));
+            peer.revision() > own && peer.link().is_some() && !is_asked
+        });
+        newer.choose(&mut rand::rng()).cloned()
+    }
+
     /// Asks a peer for its ruleset, and replaces the one in force if that is newer.
     async fn fetch_ruleset(&self, peer: &Peer) {
         let name = peer.node().name;
--- /dev/null
+++ b/crates/sidecar/tests/rulesets.rs
@@ -0,0 +1,68 @@
+//! How a node gets a newer ruleset from its peers.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use policy::Report;
+use quinn::{Connection, Endpoint};
+use standin::deployment::{Deployment, eventually};
+use wire::link::{Datagram, Frame, Hello, Node, Status};
+use wire::tls::{self, SERVER_NAME, Timing, Trust};
+
+const NODE: &str = env!("CARGO_BIN_EXE_bamboowheel-sidecar");
+/// A change must be in force on every node within this time of its acknowledgement.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time between two reports of a peer that sends no ruleset.
+const REPORT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Links to a node as another one that has a ruleset of `revision` and sends it to nobody.
+async fn link_silent_peer(
+    address: SocketAddr,
+    name: &str,
+    revision: u64,
+) -> (Endpoint, Connection) {
+    let timing = Timing { idle: Duration::from_secs(10), keep_alive: Duration::from_secs(1) };
+    let identity = tls::open(&Trust::Development, timing).unwrap();
+    let endpoint = Endpoint::client("127.0.0.1:0".parse().unwrap()).unwrap();
+    let connecting = endpoint.connect_with(identity.client, address, SERVER_NAME).unwrap();
+    let connection = connecting.await.unwrap();
+    let (mut send, mut receive) = connection.open_bi().await.unwrap();
+    let node = Node {
+        name: name.into(),
+        data_centre: "dc-1".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        started: 1,
+    };
+    let report = Report { open: false, ..Report::default() };
+    let status = Status { service: None, report, leaving: None, revision, followed: true };
+    let hello = Hello { node, status: status.clone(), leaving: None };
+    wire::write(&mut send, &Frame::Hello(Box::new(hello))).await.unwrap();
+    let _: Hello = wire::read(&mut receive).await.unwrap();
+    let reporting = connection.clone();
+    tokio::spawn(async move {
+        let report = wire::encode(&Datagram::Status(Box::new(status))).unwrap();
+        while reporting.send_datagram(report.clone().into()).is_ok() {
+            tokio::time::sleep(REPORT_INTERVAL).await;
+        }
+    });
+    (endpoint, connection)
+}
+
+// Guards against a node that waits for a newer ruleset from peers that cannot send it, such as those
+// behind a link that passes packets in one direction only, and does not ask others that have it too.
+#[tokio::test]
+async fn a_ruleset_that_one_peer_does_not_send_is_fetched_from_another() {
+    let mut deployment = Deployment::prepare(NODE, &[("dc-1", "a"); 3]).await;
+    deployment.start_nodes().await;
+    // The third node does not watch the store, and first hears of the change from these peers.
+    let address = SocketAddr::new(deployment.vms[2].ip, 7600);
+    let mut peers = Vec::new();
+    for name in ["x-1", "x-2", "x-3", "x-4"] {
+        peers.push(link_silent_peer(address, name, 1_000_000).await);
+    }
+    deployment.set_routes(&[("/new/", "a", "safe")]);
+    let acknowledged = Instant::now();
+    let known = eventually(IN_FORCE_LIMIT, async || deployment.is_current(2).await).await;
+    assert!(known, "after {:?}", acknowledged.elapsed());
+}
