Keep to the limit of requests a second that a target names

Cause: no code read the header. Class: a statement of the target that the one place in front of it ignores.

Change: policy::NamedRate, a bucket of a quarter of a second, through which the guard sends requests, hedged attempts and health checks; a limited target is not probed for slowness. An answer changes the limit only if it was certainly written later, or names a lower one. Entries remember the limit and add it to attempts, for a guard that restarted; the target's first answer replaces it. Reports show the room that the limit leaves, the wait for it counts in the choice of a target, and a request is queued at a limited target only if no other takes it sooner. New metrics: requests sent to the target, and its limit.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -7,7 +7,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{Knee, Occupancy, RateWindow, Time};
+use crate::{Knee, NamedRate, Occupancy, RateWindow, Time};
 
 /// A reported slowness is used for this long, in microseconds: neighbours keep a VM busy for about
 /// a tenth of a second at a time.
@@ -85,6 +85,8 @@
     Misdirected,
     /// The request crashed targets before.
     Quarantined,
+    /// The target named a limit of requests a second, and may not be sent more at the moment.
+    Limited,
 }
 
 /// A request for one of the target's slots.
@@ -162,6 +164,8 @@
     waiting: Vec<Waiting>,
     warmup: Option<Warmup>,
     sent: RateWindow,
+    /// The limit that the target names.
+    named: NamedRate,
     slowness: f64,
     slowness_at: Time,
     /// Since when every report found the VM slow.
@@ -192,6 +196,7 @@
             waiting: Vec::new(),
             warmup: None,
             sent: RateWindow::default(),
+            named: NamedRate::default(),
             slowness: 1.0,
             slowness_at: Time::default(),
             slow_since: None,
@@ -218,6 +223,21 @@
         self.warmup = Some(Warmup { until, most });
     }
 
+    /// Returns the limit that the target names.
+    pub fn named(&self) -> &NamedRate {
+        &self.named
+    }
+
+    /// Returns the limit that the target names, to record what it answers.
+    pub fn named_mut(&mut self) -> &mut NamedRate {
+        &mut self.named
+    }
+
+    /// Forgets what an earlier target named.
+    pub fn reset_named(&mut self) {
+        self.named = NamedRate::default();
+    }
+
     /// Records the slowness of the target's VM; 1 means as fast as usual.
     pub fn set_slowness(&mut self, now: Time, slowness: f64) {
         self.slowness = slowness;
@@ -238,7 +258,7 @@
     /// Returns whether a waiting request could start now if a probe found that the VM is not slow.
     pub fn needs_probe(&mut self, now: Time) -> bool {
         let waits = self.waiting.iter().any(|waiting| !self.may_start(now, &waiting.request));
-        waits && !self.is_slowness_fresh(now) && self.has_room(now)
+        waits && self.may_probe(now) && !self.is_slowness_fresh(now) && self.has_room(now)
     }
 
     /// Returns how many times longer work takes when the target is nearly full; `None` until there
@@ -258,7 +278,6 @@
         if request.deadline <= now {
             return Decision::Refuse(Refusal::Late);
         }
-        let is_cold = self.is_cold(now);
         let has_room = self.has_room(now);
         if request.elsewhere && has_room && self.is_slow(now) {
             return Decision::Refuse(Refusal::Slow);
@@ -269,12 +288,12 @@
             return Decision::Run;
         }
         if request.elsewhere {
-            let may_probe = has_room && !others_wait && self.waiting.len() < self.slots as usize;
-            if may_probe && !self.is_slowness_fresh(now) {
+            let can_wait = has_room && !others_wait && self.waiting.len() < self.slots as usize;
+            if can_wait && self.may_probe(now) && !self.is_slowness_fresh(now) {
                 self.waiting.push(Waiting { request, arrived: now, until: request.deadline });
                 return Decision::Wait;
             }
-            return Decision::Refuse(if is_cold { Refusal::Cold } else { Refusal::Busy });
+            return Decision::Refuse(self.lacks(now, Refusal::Busy));
         }
         let until = now.after((request.deadline.since(now) as f64 * MAX_WAIT_SHARE) as u64);
         let rank = self.rank(now, &request);
@@ -282,12 +301,22 @@
         let starts_at = now.after(self.expected_wait_us(now, ahead.count()));
         let most = self.slots as usize * WAITING_PER_SLOT;
         if self.waiting.len() >= most || starts_at >= until {
-            return Decision::Refuse(if is_cold { Refusal::Cold } else { Refusal::Full });
+            return Decision::Refuse(self.lacks(now, Refusal::Full));
         }
         self.waiting.push(Waiting { request, arrived: now, until });
         Decision::Wait
     }
 
+    /// Returns what the target lacks to run another request: the refusal of its rate limits, or
+    /// `otherwise`.
+    fn lacks(&mut self, now: Time, otherwise: Refusal) -> Refusal {
+        match (self.is_cold(now), self.named.room(now)) {
+            (true, _) => Refusal::Cold,
+            (false, Some(0)) => Refusal::Limited,
+            (false, _) => otherwise,
+        }
+    }
+
     /// Starts waiting requests that can run now, refuses those whose wait is over, and returns both
     /// by id.
     pub fn poll(&mut self, now: Time) -> Vec<(u64, Decision)> {
@@ -316,10 +345,10 @@
     /// this does nothing while there is room and the probe is not done.
     fn refuse_redirectable(&mut self, now: Time) -> Vec<(u64, Decision)> {
         let has_room = self.has_room(now);
-        if has_room && !self.is_slowness_fresh(now) {
+        if has_room && self.may_probe(now) && !self.is_slowness_fresh(now) {
             return Vec::new();
         }
-        let refusal = if has_room { Refusal::Slow } else { Refusal::Busy };
+        let refusal = if has_room { Refusal::Slow } else { self.lacks(now, Refusal::Busy) };
         let redirected = self.waiting.extract_if(.., |waiting| waiting.request.elsewhere);
         redirected.map(|waiting| (waiting.request.id, Decision::Refuse(refusal))).collect()
     }
@@ -383,10 +412,16 @@
                 now.after(SLOWNESS_FRESH_US)
             });
         }
-        match self.waiting.is_empty() || !self.is_cold(now) {
-            true => earliest,
-            false => earliest.min(self.sent.next_room(now).max(now.after(1_000))),
+        if self.waiting.is_empty() {
+            return earliest;
+        }
+        if self.named.room(now) == Some(0) {
+            earliest = earliest.min(self.named.next_room(now));
         }
+        if self.is_cold(now) {
+            earliest = earliest.min(self.sent.next_room(now).max(now.after(1_000)));
+        }
+        earliest
     }
 
     /// Returns how many requests could start now; if any wait, their number, negated.
@@ -399,6 +434,7 @@
             Some(warmup) => slots.min(self.sent.room(now, warmup.most)),
             None => slots,
         };
+        let room = room.min(self.named.room(now).unwrap_or(u32::MAX));
         room as i32
     }
 
@@ -458,6 +494,7 @@
         let overdue = now.after((expected_us * OVERDUE_FACTOR).max(MIN_OVERDUE_US) as u64);
         self.running.push(Running { id, work_us, begun: now, overdue, occupancy, cold });
         self.sent.sent(now);
+        self.named.sent(now);
     }
 
     fn has_room(&mut self, now: Time) -> bool {
@@ -465,7 +502,8 @@
             Some(warmup) => self.sent.room(now, warmup.most) > 0,
             None => true,
         };
-        rate_allows && self.running() < self.limit(now)
+        let limit_allows = self.named.room(now) != Some(0);
+        rate_allows && limit_allows && self.running() < self.limit(now)
     }
 
     /// Returns how many requests may run at once: one while the target is stalled.
@@ -486,15 +524,20 @@
         now.since(self.slowness_at) < SLOWNESS_FRESH_US || now < self.unprobed_until
     }
 
-    /// Returns whether work may start as far as the VM's slowness goes. A cold target is not
-    /// probed: it can take few requests, and health checks may count as such.
+    /// Returns whether the VM's slowness may be probed. A cold target and one that names a limit take
+    /// few requests, and health checks may count as such.
+    fn may_probe(&self, now: Time) -> bool {
+        !self.is_cold(now) && self.named.per_s().is_none()
+    }
+
+    /// Returns whether work may start as far as the VM's slowness goes. Of a target that names a
+    /// limit only what its answers report is known.
     fn may_start(&self, now: Time, request: &SlotRequest) -> bool {
         let is_lasting = self.slow_since.is_some_and(|since| now.since(since) >= LASTING_SLOW_US);
         let is_short = request.work_us < SHORT_WORK_US;
         let needs_quiet = self.reports_slowness && !is_short && !is_lasting && !self.is_cold(now);
-        !needs_quiet
-            || now < self.unprobed_until
-            || self.is_slowness_fresh(now) && !self.is_slow(now)
+        let is_known = self.is_slowness_fresh(now) || !self.may_probe(now);
+        !needs_quiet || now < self.unprobed_until || is_known && !self.is_slow(now)
     }
 
     fn rank(&self, now: Time, request: &SlotRequest) -> Rank {
@@ -510,6 +553,7 @@
         let slots = f64::from(self.knee.usable_slots(self.slots).max(1));
         let cold_ratio = if self.is_cold(now) { self.cold_ratio } else { 1.0 };
         let by_slots = self.work_us * cold_ratio * position / slots;
+        let by_slots = by_slots.max(self.named.duration_us(position));
         match self.warmup.filter(|warmup| warmup.until > now) {
             None => by_slots as u64,
             Some(warmup) => by_slots.max(1e6 * position / f64::from(warmup.most.max(1))) as u64,
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -46,6 +46,8 @@
 /// A target in the same data centre is not preferred from this slowness on, in tenths as in
 /// [`Report::slowness`].
 const NEAR_SLOWNESS_LIMIT: u8 = 20;
+/// The least rate by which the wait at a target that names a limit is estimated, in requests a second.
+const MIN_LIMIT_PER_S: f64 = 0.5;
 /// The expected wait until a slow VM is fast again, in microseconds: half more than one busy period
 /// of its neighbours.
 const QUIET_WAIT_US: f64 = 150_000.0;
@@ -81,6 +83,8 @@
     ended_at: Time,
     /// Whether the guard did not respond in time since the last report.
     unresponsive: bool,
+    /// The limit that the target named in its last answer, in requests a second.
+    pub named_limit: Option<f64>,
 }
 
 /// What a request is expected to take, for the comparison of targets.
@@ -149,9 +153,13 @@
         self.failure_rate * 0.5_f64.powf(half_lives)
     }
 
-    /// Returns the estimated share of slots that are taken; over 1 if requests wait.
+    /// Returns the estimated share of slots that are taken; over 1 if requests wait. A target that
+    /// names a limit does not become free when calls end.
     fn occupancy(&self, now: Time) -> f64 {
-        let fresh = (-(now.since(self.reported_at) as f64) / FREE_DECAY_US).exp();
+        let fresh = match self.named_limit {
+            Some(_) => 1.0,
+            None => (-(now.since(self.reported_at) as f64) / FREE_DECAY_US).exp(),
+        };
         let slots = f64::from(self.report.slots.max(1));
         let reported = 1.0 - f64::from(self.report.free) / slots;
         reported * fresh + UNKNOWN_OCCUPANCY * (1.0 - fresh) + f64::from(self.sent) / slots
@@ -189,7 +197,15 @@
             true => 0.0,
             false => FAR_RTT_US + FAR_US_PER_KB * estimate.bytes / 1_000.0,
         };
-        time_us / (success * success) + far_us
+        (time_us + self.limit_wait_us()) / (success * success) + far_us
+    }
+
+    /// Returns how long the next request waits for the limit that the target names, in microseconds;
+    /// 0 without one.
+    fn limit_wait_us(&self) -> f64 {
+        let Some(per_s) = self.named_limit else { return 0.0 };
+        let ahead = f64::from(self.sent) - f64::from(self.report.free);
+        (ahead + 1.0).max(0.0) * 1e6 / per_s.max(MIN_LIMIT_PER_S)
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 mod median;
 mod member;
 mod members;
+mod named_rate;
 mod once;
 mod pace;
 mod picker;
@@ -46,6 +47,7 @@
 pub use median::Median;
 pub use member::{Health, Member, MemberAction, MemberMessage, MessageKind};
 pub use members::Members;
+pub use named_rate::NamedRate;
 pub use once::{
     IdempotencyRecord, IdempotencyState, IdempotencyStep, KeyedAttempt, StoredAnswer, TableReply,
 };
--- a/crates/sidecar/src/entry/attempt.rs
+++ b/crates/sidecar/src/entry/attempt.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use policy::{Refusal, Time};
+use platform::headers::{self, NamedLimit};
+use policy::{Refusal, TargetView, Time};
 use wire::link::Attempt;
 use world::Name;
 
 use crate::entry::state::Entry;
-use crate::guard::Outcome;
+use crate::guard::{Answer, Outcome};
 use crate::peers::Peer;
 
 /// A peer that sends nothing for this long after an attempt was sent to it, not even the
@@ -42,6 +43,15 @@
         }
     }
 
+    /// Returns whether its target names a limit.
+    pub fn is_limited(&self, entry: &Entry) -> bool {
+        let limit = match self {
+            Destination::Local => entry.peers.own_view.borrow().named_limit,
+            Destination::Remote(peer) => peer.view.borrow().named_limit,
+        };
+        limit.is_some()
+    }
+
     /// Records whether an attempt there succeeded.
     pub fn record_result(&self, entry: &Entry, success: bool) {
         let now = entry.clock.now();
@@ -56,7 +66,7 @@
 pub async fn execute(
     entry: Rc<Entry>,
     destination: Destination,
-    attempt: Attempt,
+    mut attempt: Attempt,
     body: Bytes,
     deadline: Time,
 ) -> Outcome {
@@ -65,18 +75,39 @@
         Destination::Local => {
             let own = &entry.peers.own_view;
             own.borrow_mut().sent();
-            let outcome = tokio::time::timeout_at(until, entry.guard.run(&attempt, body)).await;
+            let outcome = tokio::time::timeout_at(until, entry.guard.run(attempt, body)).await;
+            if let Ok(Outcome::Answer(answer)) = &outcome {
+                remember_limit(&mut own.borrow_mut(), answer);
+            }
             own.borrow_mut().reported(entry.clock.now(), entry.guard.report());
             outcome
         }
         Destination::Remote(peer) => {
             peer.view.borrow_mut().sent();
-            tokio::time::timeout_at(until, send(&entry, peer, attempt, body)).await
+            let known = peer.view.borrow().named_limit;
+            if let Some(per_s) = known {
+                wire::add_limit(&mut attempt.fields, per_s);
+            }
+            let outcome = tokio::time::timeout_at(until, send(&entry, peer, attempt, body)).await;
+            if let Ok(Outcome::Answer(answer)) = &outcome {
+                remember_limit(&mut peer.view.borrow_mut(), answer);
+            }
+            outcome
         }
     };
     outcome.unwrap_or_else(|_| Outcome::Lost { detail: "no answer in time".to_owned() })
 }
 
+/// Remembers the limit that a target names, for the choice of targets and for a guard that restarts.
+fn remember_limit(view: &mut TargetView, answer: &Answer) {
+    match headers::named_limit(&answer.headers) {
+        NamedLimit::PerSecond(per_s) => view.named_limit = Some(per_s),
+        NamedLimit::Absent => view.named_limit = None,
+        // The guard has logged it.
+        NamedLimit::Invalid => {}
+    }
+}
+
 /// Sends an attempt to a peer and waits for its outcome.
 async fn send(entry: &Entry, peer: &Rc<Peer>, attempt: Attempt, body: Bytes) -> Outcome {
     let id = attempt.id.clone();
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -169,6 +169,10 @@
                 }
                 None => return None,
             };
+            let destination = match is_immediate {
+                true => destination,
+                false => self.choose_queue(destination),
+            };
             let may_queue = !is_immediate
                 || self.destinations().len() < 2
                 || self.should_queue_at(&destination);
@@ -185,6 +189,16 @@
         None
     }
 
+    /// Returns where the request should be queued rather than at `destination`, if that one names a
+    /// limit: others that refused to run it at once may have a slot sooner.
+    fn choose_queue(&mut self, destination: Destination) -> Destination {
+        if !destination.is_limited(self.entry) || !self.is_refusal_temporary() {
+            return destination;
+        }
+        self.tried.clear();
+        self.choose_destination().unwrap_or(destination)
+    }
+
     /// Returns whether the request should be queued at a destination at once: it is the only one
     /// left in this data centre, and sending the request to another data centre costs more than the
     /// wait.
@@ -199,7 +213,7 @@
 
     /// Returns whether the reason of the last refusal may be gone in a moment.
     fn is_refusal_temporary(&self) -> bool {
-        matches!(self.refusal, Refusal::Busy | Refusal::Slow | Refusal::Cold)
+        matches!(self.refusal, Refusal::Busy | Refusal::Slow | Refusal::Cold | Refusal::Limited)
     }
 
     /// Takes one retry from the budget if the request may have reached a target before. Returns
@@ -467,7 +481,9 @@
                     Refusal::Late => Code::DeadlinePassed,
                     Refusal::Shed => Code::TargetRefused,
                     Refusal::Quarantined => Code::Quarantined,
-                    Refusal::Cold | Refusal::Busy | Refusal::Slow => Code::TargetBusy,
+                    Refusal::Cold | Refusal::Busy | Refusal::Slow | Refusal::Limited => {
+                        Code::TargetBusy
+                    }
                     Refusal::Full => Code::Overload,
                 };
                 (code, StatusCode::SERVICE_UNAVAILABLE)
--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -65,10 +65,13 @@
 impl Guard {
     /// Runs an attempt at the target. Dropping the future cancels the attempt, and closes its
     /// connection so that the target notices.
-    pub async fn run(self: &Rc<Guard>, attempt: &Attempt, body: Bytes) -> Outcome {
+    pub async fn run(self: &Rc<Guard>, mut attempt: Attempt, body: Bytes) -> Outcome {
         let begun = self.clock.now();
-        let outcome = self.admit_and_send(attempt, body).await;
-        self.log(attempt, &outcome, self.clock.now().since(begun));
+        if let Some(per_s) = wire::take_limit(&mut attempt.fields) {
+            self.restore_limit(per_s);
+        }
+        let outcome = self.admit_and_send(&attempt, body).await;
+        self.log(&attempt, &outcome, self.clock.now().since(begun));
         outcome
     }
 
@@ -180,7 +183,7 @@
     /// Sends the request and receives the answer. Tries another connection while the request was
     /// certainly not sent.
     async fn exchange(
-        &self,
+        self: &Rc<Guard>,
         attempt: &Attempt,
         body: Bytes,
         target: &Target,
@@ -192,8 +195,14 @@
         let mut detail = String::new();
         for _ in 0..MAX_CONNECTIONS {
             let mut connection = self.acquire_connection(target).await?;
+            let sent = self.clock.now();
+            self.metrics.target_requests.inc();
             match connection.send(request).await {
-                Ok(response) => return self.receive(attempt, response, connection).await,
+                Ok(response) => {
+                    let answer = self.receive(attempt, response, connection).await?;
+                    self.note_answer(target, sent, &answer.headers);
+                    return Ok(answer);
+                }
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) => {
                         detail = failed.error().to_string();
--- a/crates/sidecar/src/guard/heartbeats.rs
+++ b/crates/sidecar/src/guard/heartbeats.rs
@@ -56,6 +56,7 @@
                 "target: new incarnation"
             );
             state.admission.set_warmup(now, 0);
+            state.admission.reset_named();
             state.target_refusal = None;
             self.pool.clear();
         }
--- a/crates/sidecar/src/guard/mod.rs
+++ b/crates/sidecar/src/guard/mod.rs
@@ -8,6 +8,7 @@
 mod pool;
 mod probe;
 mod state;
+mod statements;
 
 pub use attempt::{Answer, Outcome};
 pub use bodies::BodyMemory;
--- a/crates/sidecar/src/guard/probe.rs
+++ b/crates/sidecar/src/guard/probe.rs
@@ -12,6 +12,7 @@
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use platform::headers;
+use policy::Time;
 use world::Name;
 
 use crate::guard::pool;
@@ -103,13 +104,14 @@
         }
     };
     let request = health_request(guard, target.address, &target.service)?;
-    guard.metrics.probes.inc();
+    let sent = guard.count_probe();
     let answer = connection.send(request).await;
     let answer = answer.map_err(|failed| std::io::Error::other(failed.into_error()))?;
     let (head, body) = answer.into_parts();
     if head.headers.contains_key(headers::REQUEST_ID) {
         return Err(std::io::Error::other("the answer to an earlier request"));
     }
+    guard.note_health(&target, sent, &head.headers);
     Limited::new(body, MAX_BODY_BYTES).collect().await.map_err(std::io::Error::other)?;
     if connection.is_ready() {
         let until = pool::idle_until(guard.clock.now(), &head.headers);
@@ -119,6 +121,14 @@
 }
 
 impl Guard {
+    /// Counts a health check, which uses up what a limited target takes. Returns the time.
+    fn count_probe(&self) -> Time {
+        let now = self.clock.now();
+        self.metrics.probes.inc();
+        self.state.borrow_mut().admission.named_mut().sent(now);
+        now
+    }
+
     /// Returns the target while it is suspected, since that is when the guard refuses requests
     /// because it has none.
     fn suspected_target(&self) -> Option<Target> {
@@ -140,16 +150,28 @@
             && let Some(load) = headers::target_load(&head.headers)
         {
             let cold_us = headers::cold_us(&head.headers);
-            return guard.adopt(&id, service, address, load.slots, cold_us);
+            guard.adopt(&id, service, address, load.slots, cold_us);
+            let target = guard.state.borrow().target.clone();
+            if let Some(target) = target.filter(|target| target.life.id == id) {
+                guard.note_health(&target, guard.clock.now(), &head.headers);
+            }
+            return;
         }
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
 /// Sends one health check and checks which instance answers.
-async fn probe(guard: &Guard, target: &Target) -> ProbeResult {
+async fn probe(guard: &Rc<Guard>, target: &Target) -> ProbeResult {
+    let sent = guard.clock.now();
     match check_new(guard, target.address, &target.service).await {
-        Ok(Some(head)) => check_instance(target, &head.headers),
+        Ok(Some(head)) => {
+            let result = check_instance(target, &head.headers);
+            if matches!(result, ProbeResult::Present(_)) {
+                guard.note_health(target, sent, &head.headers);
+            }
+            result
+        }
         // Health checks may fail while the target serves. Requests will show whether it does.
         Ok(None) => ProbeResult::Present(0),
         Err(error) => ProbeResult::Absent(error.to_string()),
@@ -165,7 +187,7 @@
 ) -> std::io::Result<Option<Head>> {
     let mut connection = pool::connect(address).await?;
     let request = health_request(guard, address, service)?;
-    guard.metrics.probes.inc();
+    guard.count_probe();
     let answer = tokio::time::timeout(PROBE_TIMEOUT, connection.send(request)).await;
     Ok(answer.ok().and_then(Result::ok).map(|answer| answer.into_parts().0))
 }
--- /dev/null
+++ b/crates/sidecar/src/guard/statements.rs
@@ -0,0 +1,67 @@
+//! What the target says of itself in its answers: the rate of requests that it takes.
+
+use std::rc::Rc;
+
+use http::HeaderMap;
+use platform::headers::{self, NamedLimit};
+use policy::Time;
+
+use crate::guard::state::{Guard, Target};
+
+impl Guard {
+    /// Handles the headers of an answer of `target` to a request that was sent at `sent`.
+    pub(super) fn note_answer(self: &Rc<Guard>, target: &Target, sent: Time, answer: &HeaderMap) {
+        let per_s = match headers::named_limit(answer) {
+            NamedLimit::PerSecond(per_s) => Some(per_s),
+            NamedLimit::Absent => None,
+            NamedLimit::Invalid => {
+                tracing::warn!(id = &*target.life.id, "target: its limit is not a rate");
+                return;
+            }
+        };
+        self.note_limit(target, sent, per_s);
+    }
+
+    /// Handles the headers of an answer of `target` to a health check. These need not name a limit
+    /// that holds for requests.
+    pub(super) fn note_health(self: &Rc<Guard>, target: &Target, sent: Time, answer: &HeaderMap) {
+        if let NamedLimit::PerSecond(per_s) = headers::named_limit(answer) {
+            self.note_limit(target, sent, Some(per_s));
+        }
+    }
+
+    fn note_limit(self: &Rc<Guard>, target: &Target, sent: Time, per_s: Option<f64>) {
+        let now = self.clock.now();
+        {
+            let mut state = self.state.borrow_mut();
+            if state.incarnations.current() != Some(&target.life)
+                || !state.admission.named_mut().answered(now, sent, per_s)
+            {
+                return;
+            }
+        }
+        self.limit_changed();
+    }
+
+    /// Handles the limit that an entry remembers of the target. This node may have restarted since
+    /// the target named it.
+    pub(super) fn restore_limit(self: &Rc<Guard>, per_s: f64) {
+        let now = self.clock.now();
+        let began = self.state.borrow_mut().admission.named_mut().restore(now, per_s);
+        if began {
+            self.limit_changed();
+        }
+    }
+
+    /// Logs that a limit began or ended, and lets requests and peers know of it.
+    fn limit_changed(self: &Rc<Guard>) {
+        let per_s = self.state.borrow().admission.named().per_s();
+        match per_s {
+            Some(per_s) => tracing::info!(per_s, "target: names a limit of requests a second"),
+            None => tracing::info!("target: names no limit any more"),
+        }
+        self.metrics.target_limit.set(per_s.unwrap_or(-1.0));
+        self.update_queue();
+        self.notify_peers();
+    }
+}
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -33,6 +33,10 @@
     pub latency: Family<CallLabels, Histogram>,
     /// Health checks that the guard sent to the target.
     pub probes: Counter,
+    /// Requests that the guard sent to the target.
+    pub target_requests: Counter,
+    /// The requests a second that the target takes as it last named them; -1 if it names none.
+    pub target_limit: Gauge<f64, AtomicU64>,
     /// Connections that the guard opened to the target, whether or not they succeeded.
     pub connections_opened: Counter,
     /// Retries and hedged attempts that the retry budget allowed.
@@ -58,6 +62,10 @@
         let ruleset_wait = Histogram::new(RULESET_BOUNDS_S);
         let help = "Time from the first news of a revision until it was in force";
         registry.register("ruleset_wait_seconds", help, ruleset_wait.clone());
+        let target_limit = Gauge::<f64, AtomicU64>::default();
+        target_limit.set(-1.0);
+        let help = "Requests a second that the target takes; -1 if it names no limit";
+        registry.register("target_limit", help, target_limit.clone());
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::<u64, AtomicU64>::default();
             registry.register(name, help, gauge.clone());
@@ -73,6 +81,8 @@
         Metrics {
             latency,
             probes: counter("target_probes", "Health checks of the target"),
+            target_requests: counter("target_requests", "Requests sent to the target"),
+            target_limit,
             connections_opened: counter("target_connections", "Connections opened to the target"),
             repeats: counter("repeats", "Attempts beyond the first of a request"),
             links_opened: counter("links", "Links to other nodes that were opened"),
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -144,17 +144,18 @@
         // The peer cancelled the attempt or the link broke. Nothing has been sent to the target.
         _ => return drop(send.reset(VarInt::from_u32(CANCELLED))),
     };
-    let run = peers.guard.run(&attempt, body.into());
+    let id = attempt.id.clone();
+    let run = peers.guard.run(attempt, body.into());
     tokio::pin!(run);
     let outcome = tokio::select! {
         outcome = &mut run => outcome,
         () = &mut stopped => {
-            tracing::debug!(request = attempt.id, "guard: attempt cancelled by its entry");
+            tracing::debug!(request = id, "guard: attempt cancelled by its entry");
             return;
         }
     };
     if let Err(error) = send_outcome(peers, outcome, &mut send).await {
-        tracing::info!(request = attempt.id, error, "guard: cannot send an outcome to its entry");
+        tracing::info!(request = id, error, "guard: cannot send an outcome to its entry");
     }
 }
 
--- a/crates/wire/src/fields.rs
+++ b/crates/wire/src/fields.rs
@@ -18,6 +18,24 @@
     header::UPGRADE,
 ];
 
+/// A field that an entry adds to an attempt: the limit that the target last named to it, in requests a
+/// second. The guard may have restarted since. Nodes of earlier versions take it for a header.
+const KNOWN_LIMIT: &str = "bamboowheel-limit";
+
+/// Appends the limit that the sender remembers of a target.
+pub fn add_limit(fields: &mut Vec<Field>, per_s: f64) {
+    let value = per_s.to_string().into_bytes();
+    fields.push(Field { name: KNOWN_LIMIT.to_owned(), value });
+}
+
+/// Removes the limit that an entry remembers of the target, and returns it. `None` if there is none
+/// or it is no number.
+pub fn take_limit(fields: &mut Vec<Field>) -> Option<f64> {
+    let at = fields.iter().position(|field| field.name == KNOWN_LIMIT)?;
+    let field = fields.remove(at);
+    std::str::from_utf8(&field.value).ok()?.parse().ok()
+}
+
 /// Returns the end-to-end headers, in lower case, except those in `without`. Headers that
 /// `connection` lists are hop-by-hop and left out.
 pub fn end_to_end(headers: &HeaderMap, without: &[HeaderName]) -> Vec<Field> {
@@ -26,7 +44,8 @@
     for (name, value) in headers {
         let is_hop = HOP_BY_HOP.contains(name) || name.as_str() == "keep-alive";
         let is_listed = listed.iter().any(|other| other == name.as_str());
-        if !is_hop && !is_listed && !without.contains(name) {
+        let is_ours = name.as_str() == KNOWN_LIMIT;
+        if !is_hop && !is_listed && !is_ours && !without.contains(name) {
             let value = value.as_bytes().to_vec();
             fields.push(Field { name: name.as_str().to_owned(), value });
         }
