Send nothing more to a target whose answer says that it leaves

Cause: no code read Server-Leaving; only heartbeats and deregistrations told.

Evidence: the three tests of sidecar/tests/leaving.rs failed on the code before: requests were served after the answer, waiting ones were sent, and a guard that restarted sent more.

Change: the guard treats it like a heartbeat that says draining: the incarnation is gone, waiting requests are refused, peers are told. Answers of a leaving target name its incarnation between nodes, so that the entry that passed one on tells a restarted guard, also if that guard died before it could tell others. A new incarnation is not concerned.

--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -163,13 +163,10 @@
 
     /// Returns the status that is sent to other nodes.
     pub fn status(&self) -> Status {
-        let report = self.report();
-        let state = self.state.borrow();
-        let leaving = state.incarnations.current().filter(|life| state.incarnations.is_gone(life));
         Status {
-            service: state.target.as_ref().map(|target| target.service.clone()),
-            report,
-            leaving: leaving.cloned(),
+            service: self.service(),
+            report: self.report(),
+            leaving: self.leaving(),
             revision: self.rules.revision(),
             followed: self.rules.is_watching(),
         }
--- a/crates/sidecar/src/guard/statements.rs
+++ b/crates/sidecar/src/guard/statements.rs
@@ -1,16 +1,22 @@
-//! What the target says of itself in its answers: the rate of requests that it takes.
+//! What the target says of itself in its answers: the rate of requests that it takes, and that it
+//! leaves.
 
 use std::rc::Rc;
 
 use http::HeaderMap;
 use platform::headers::{self, NamedLimit};
-use policy::Time;
+use policy::{Refusal, Time};
+use runtime::wall_ms;
+use wire::link::Life;
 
 use crate::guard::state::{Guard, Target};
 
 impl Guard {
     /// Handles the headers of an answer of `target` to a request that was sent at `sent`.
     pub(super) fn note_answer(self: &Rc<Guard>, target: &Target, sent: Time, answer: &HeaderMap) {
+        if headers::is_leaving(answer) {
+            self.note_leaving(target);
+        }
         let per_s = match headers::named_limit(answer) {
             NamedLimit::PerSecond(per_s) => Some(per_s),
             NamedLimit::Absent => None,
@@ -25,11 +31,40 @@
     /// Handles the headers of an answer of `target` to a health check. These need not name a limit
     /// that holds for requests.
     pub(super) fn note_health(self: &Rc<Guard>, target: &Target, sent: Time, answer: &HeaderMap) {
+        if headers::is_leaving(answer) {
+            self.note_leaving(target);
+        }
         if let NamedLimit::PerSecond(per_s) = headers::named_limit(answer) {
             self.note_limit(target, sent, Some(per_s));
         }
     }
 
+    /// Sends nothing more to a target that leaves. Has no effect if another one has taken its place.
+    fn note_leaving(self: &Rc<Guard>, target: &Target) {
+        {
+            let mut state = self.state.borrow_mut();
+            let is_current = state.incarnations.current() == Some(&target.life);
+            if !is_current || state.incarnations.is_gone(&target.life) {
+                return;
+            }
+            if target.life.born == 0 {
+                // Found by a health check: a heartbeat will give its start.
+                state.incarnations.mark_gone_before(target.life.id.clone(), wall_ms());
+            }
+            state.incarnations.mark_gone(target.life.clone());
+            state.target_refusal = Some(Refusal::Leaving);
+        }
+        tracing::info!(id = &*target.life.id, "target: an answer says that it leaves");
+        self.update_queue();
+        self.notify_peers();
+    }
+
+    /// Returns the target's incarnation if it leaves.
+    pub fn leaving(&self) -> Option<Life> {
+        let state = self.state.borrow();
+        state.incarnations.current().filter(|life| state.incarnations.is_gone(life)).cloned()
+    }
+
     fn note_limit(self: &Rc<Guard>, target: &Target, sent: Time, per_s: Option<f64>) {
         let now = self.clock.now();
         {
--- a/crates/sidecar/src/peers/directory.rs
+++ b/crates/sidecar/src/peers/directory.rs
@@ -121,6 +121,11 @@
         self.leaving.borrow().clone()
     }
 
+    /// Records a target that it reported to be leaving.
+    pub(super) fn set_leaving(&self, life: Life) {
+        self.leaving.replace(Some(life));
+    }
+
     /// Returns the revision of its ruleset as last reported, 0 if it has none.
     pub(super) fn revision(&self) -> u64 {
         self.revision.get()
@@ -181,8 +186,8 @@
     pub(super) fn update_status(&self, now: Time, status: &Status) {
         self.record_received(now);
         self.revision.set(status.revision);
-        if status.leaving.is_some() {
-            self.leaving.borrow_mut().clone_from(&status.leaving);
+        if let Some(life) = &status.leaving {
+            self.set_leaving(life.clone());
         }
         if *self.service.borrow() != status.service {
             self.service.borrow_mut().clone_from(&status.service);
--- a/crates/sidecar/src/peers/exchange.rs
+++ b/crates/sidecar/src/peers/exchange.rs
@@ -115,7 +115,10 @@
             self.peer.record_received(now);
             let (outcome, report) = match reply {
                 Reply::Held => continue,
-                Reply::Answer { status, fields, length, took_us, report } => {
+                Reply::Answer { status, mut fields, length, took_us, report } => {
+                    if let Some(life) = wire::take_leaving(&mut fields) {
+                        self.peer.set_leaving(life);
+                    }
                     let body = match self.read_body(length).await {
                         Ok(body) => body,
                         Err(detail) => return self.lost(detail),
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -168,7 +168,10 @@
     let report = peers.guard.report();
     let (reply, body) = match outcome {
         Outcome::Answer(answer) => {
-            let fields = wire::end_to_end(&answer.headers, &[]);
+            let mut fields = wire::end_to_end(&answer.headers, &[]);
+            if let Some(life) = peers.guard.leaving() {
+                wire::add_leaving(&mut fields, &life);
+            }
             let (status, length) = (answer.status.as_u16(), answer.body.len() as u64);
             let took_us = answer.took_us;
             (Reply::Answer { status, fields, length, took_us, report }, answer.body)
--- a/crates/wire/src/fields.rs
+++ b/crates/wire/src/fields.rs
@@ -3,6 +3,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 use crate::Field;
+use crate::link::Life;
 
 /// Headers that apply to a single connection, or that each connection computes for itself.
 /// `keep-alive` is one too, but has no constant in the `http` crate.
@@ -22,6 +23,30 @@
 /// second. The guard may have restarted since. Nodes of earlier versions take it for a header.
 const KNOWN_LIMIT: &str = "bamboowheel-limit";
 
+/// A field that a guard adds to an answer: the incarnation of its target, which has said that it
+/// leaves. The guard may restart before it tells of that otherwise.
+const LEAVING_TARGET: &str = "bamboowheel-leaving";
+
+/// Appends the incarnation of the target that leaves.
+pub fn add_leaving(fields: &mut Vec<Field>, life: &Life) {
+    let value = format!("{} {}", life.born, life.id).into_bytes();
+    fields.push(Field { name: LEAVING_TARGET.to_owned(), value });
+}
+
+/// Removes the incarnation of the target that leaves, and returns it. `None` if there is none or it
+/// cannot be parsed.
+pub fn take_leaving(fields: &mut Vec<Field>) -> Option<Life> {
+    let value = take(fields, LEAVING_TARGET)?;
+    let (born, id) = value.split_once(' ')?;
+    Some(Life { id: id.into(), born: born.parse().ok()? })
+}
+
+/// Removes a field and returns its value as text.
+fn take(fields: &mut Vec<Field>, name: &str) -> Option<String> {
+    let at = fields.iter().position(|field| field.name == name)?;
+    String::from_utf8(fields.remove(at).value).ok()
+}
+
 /// Appends the limit that the sender remembers of a target.
 pub fn add_limit(fields: &mut Vec<Field>, per_s: f64) {
     let value = per_s.to_string().into_bytes();
@@ -31,9 +56,7 @@
 /// Removes the limit that an entry remembers of the target, and returns it. `None` if there is none
 /// or it is no number.
 pub fn take_limit(fields: &mut Vec<Field>) -> Option<f64> {
-    let at = fields.iter().position(|field| field.name == KNOWN_LIMIT)?;
-    let field = fields.remove(at);
-    std::str::from_utf8(&field.value).ok()?.parse().ok()
+    take(fields, KNOWN_LIMIT)?.parse().ok()
 }
 
 /// Returns the end-to-end headers, in lower case, except those in `without`. Headers that
@@ -44,7 +67,7 @@
     for (name, value) in headers {
         let is_hop = HOP_BY_HOP.contains(name) || name.as_str() == "keep-alive";
         let is_listed = listed.iter().any(|other| other == name.as_str());
-        let is_ours = name.as_str() == KNOWN_LIMIT;
+        let is_ours = [KNOWN_LIMIT, LEAVING_TARGET].contains(&name.as_str());
         if !is_hop && !is_listed && !is_ours && !without.contains(name) {
             let value = value.as_bytes().to_vec();
             fields.push(Field { name: name.as_str().to_owned(), value });
