Reject heartbeats with values that no target has

Here a heartbeat of another writer with a start far ahead, with port 0, or with a huge sequence number would have taken the place of the target or hidden its later heartbeats (LOST). Deep nesting and numbers beyond their type were rejected already.

Cause: fields were checked for their type only. Class: a value that is valid by type and orders everything after it.

--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -30,6 +30,10 @@
     }
 }
 
+/// How far a start that another process gives may lie ahead of this VM's wall clock, in milliseconds: a
+/// year, since a VM's clock may be wrong for a while. Beyond it the value is no time.
+pub const MAX_AHEAD_MS: u64 = 365 * 86_400 * 1_000;
+
 /// Returns the wall-clock time in milliseconds since 1970, or 0 if the clock is set before that.
 pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/sidecar/src/guard/heartbeats.rs
+++ b/crates/sidecar/src/guard/heartbeats.rs
@@ -6,7 +6,7 @@
 
 use platform::heartbeat::Heartbeat;
 use policy::Refusal;
-use runtime::wall_ms;
+use runtime::{MAX_AHEAD_MS, wall_ms};
 use wire::link::Life;
 use world::{Name, Ruleset};
 
@@ -23,7 +23,7 @@
 
     /// Handles a heartbeat of the target: records the target, its slots, and whether it is cold or
     /// leaves. A stale heartbeat is ignored. Returns false if it names a service that the ruleset
-    /// does not have, so that it is not from a target that can be used.
+    /// does not have or a start that is no time, so that it is not from a target that can be used.
     pub fn heartbeat(self: &Rc<Guard>, heartbeat: Heartbeat) -> bool {
         let now = self.clock.now();
         if !self.is_known_service(&heartbeat.service) {
@@ -34,6 +34,15 @@
             );
             return false;
         }
+        if heartbeat.born > wall_ms().saturating_add(MAX_AHEAD_MS) {
+            // It would hide every later incarnation.
+            tracing::warn!(
+                id = &*heartbeat.id,
+                born = heartbeat.born,
+                "target: its start is no time"
+            );
+            return false;
+        }
         let life = Life { id: heartbeat.id.clone(), born: heartbeat.born };
         let mut state = self.state.borrow_mut();
         let kind = state.incarnations.record_heartbeat(&heartbeat);
--- a/crates/sidecar/tests/malformed.rs
+++ b/crates/sidecar/tests/malformed.rs
@@ -75,6 +75,62 @@
     check(&mut deployment, "an unknown service").await;
 }
 
+/// Returns a JSON value that is nested so deeply that decoding it by recursion overflows a stack.
+fn nested() -> String {
+    const DEPTH: usize = 20_000;
+    format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH))
+}
+
+// Guards against an odd heartbeat of another writer that ends the process, that takes the place of the
+// target, or that makes the node ignore the target's own heartbeats from then on.
+#[tokio::test]
+async fn an_odd_heartbeat_names_no_target_and_hides_none() {
+    let mut deployment = started_deployment().await;
+    let ip = deployment.vms[0].ip;
+    let valid = format!(
+        r#"{{"service":"a","address":"{ip}:8628","slots":8,"state":"ready","warmupLeftS":0,"sequence":9,"born":1000}}"#
+    );
+    struct Case {
+        from: &'static str,
+        to: String,
+    }
+    let case = |from, to: &str| Case { from, to: to.to_owned() };
+    let cases = [
+        case("\"slots\":8", &format!("\"slots\":{}", nested())),
+        case("\"slots\":8", "\"slots\":1e400"),
+        case("\"slots\":8", "\"slots\":99999999999999999999999"),
+        case("\"slots\":8", "\"slots\":4294967295"),
+        case("\"slots\":8", "\"slots\":-1"),
+        case("\"sequence\":9", "\"sequence\":1e30"),
+        case("\"sequence\":9", "\"sequence\":18446744073709551615"),
+        case("\"warmupLeftS\":0", "\"warmupLeftS\":1e308"),
+        case("\"warmupLeftS\":0", "\"warmupLeftS\":999999"),
+        case("\"born\":1000", "\"born\":18446744073709551615"),
+        case("\"born\":1000", "\"born\":99999999999999"),
+        case(":8628", ":0"),
+        case(":8628", ":70000"),
+        case(":8628", ":-1"),
+        case("127.", "999."),
+    ];
+    let path = "/api/rpc?call=instances.heartbeat&of=i-vm-0";
+    for Case { from, to } in cases {
+        let body = valid.replace(from, &to);
+        assert_ne!(body, valid, "{from}");
+        let shown: String = to.chars().take(60).collect();
+        assert_eq!(deployment.vms[0].send_control(path, &body).await, 400, "{shown}");
+        check(&mut deployment, &shown).await;
+    }
+    // A field that is not known is ignored, however it looks.
+    let body = valid.replace("\"sequence\":9", &format!("\"sequence\":1,\"other\":{}", nested()));
+    assert_eq!(deployment.vms[0].send_control(path, &body).await, 200);
+    check(&mut deployment, "a nested field").await;
+    // The target's own heartbeats still count.
+    assert_eq!(deployment.vms[0].heartbeat("draining", 0.0).await, 200);
+    let request = TestRequest { id: "left", timeout_ms: 300, ..TestRequest::default() };
+    let status = deployment.send_request(1, &request).await.map(|answer| answer.status);
+    assert_eq!(status, Some(503));
+}
+
 #[tokio::test]
 async fn rows_that_cannot_be_read_are_ignored() {
     let mut deployment = started_deployment().await;
