--- a/crates/sidecar/src/peers/registry.rs
+++ b/crates/sidecar/src/peers/registry.rs
@@ -13,6 +13,7 @@
 use platform::store::{Error, Row, StoreClient};
 use policy::{Health, Member, Time, ruleset_wait_us};
 use rand::Rng;
+use runtime::{MAX_AHEAD_MS, wall_ms};
 use serde::Deserialize;
 use world::Name;
 
@@ -185,7 +186,7 @@
             let rows = store.read_from(TABLE, &from, ROWS).await?.rows;
             self.merge_members(rows.iter().filter_map(decode).collect());
             match rows.last() {
-                Some(last) if rows.len() > 1 => from = last.key.replace('/', "%2F"),
+                Some(last) if rows.len() > 1 => from.clone_from(&last.key),
                 _ => return Ok(()),
             }
         }
@@ -211,19 +212,28 @@
     }
 }
 
-/// Decodes a row. One that cannot be decoded is logged and skipped.
+/// Decodes a row. One that is not a node's is logged and skipped.
 fn decode(row: &Row) -> Option<Member> {
     let decoded: Result<NodeRow, _> = serde_json::from_slice(&row.value);
     let decoded = decoded.inspect_err(
         |error| tracing::warn!(key = row.key, %error, "registry: cannot decode a row"),
     );
-    decoded.ok().map(|row| Member {
-        name: row.name,
-        data_centre: row.data_centre,
-        address: row.address,
-        service: row.service,
-        started: row.started,
-        incarnation: row.started,
+    let node = decoded.ok()?;
+    // A start far ahead would count as newer than any later process of that name.
+    let is_valid = *node.name == *row.key
+        && node.address.port() > 0
+        && node.started <= wall_ms().saturating_add(MAX_AHEAD_MS);
+    if !is_valid {
+        tracing::warn!(key = row.key, "registry: a row names no node");
+        return None;
+    }
+    Some(Member {
+        name: node.name,
+        data_centre: node.data_centre,
+        address: node.address,
+        service: node.service,
+        started: node.started,
+        incarnation: node.started,
         health: Health::Alive,
     })
 }
--- a/crates/sidecar/tests/malformed.rs
+++ b/crates/sidecar/tests/malformed.rs
@@ -131,6 +131,56 @@
     assert_eq!(status, Some(503));
 }
 
+// Guards against one odd row that ends the nodes that read it, hides the other rows, or makes a node
+// unreachable for good under its name.
+#[tokio::test]
+async fn an_odd_row_hides_no_other_row() {
+    let mut deployment = started_deployment().await;
+    let ip = deployment.vms[0].ip;
+    let row = |name: &str, port: &str, started: &str| {
+        format!(
+            r#"{{"name":"{name}","data_centre":"dc-1","address":"{ip}:{port}","started":{started},"service":"a"}}"#
+        )
+    };
+    let far = "18446744073709551615";
+    let odd = [
+        nested(),
+        format!("{{\"name\":{}}}", nested()),
+        row("vm-1", "7600", far),
+        row("vm-1", "0", "5"),
+        row("vm-1", "70000", "5"),
+        row("vm-1", "7600", "1e400"),
+        row("", "7600", "5"),
+        row("vm-0", "1", far),
+    ];
+    for (number, value) in odd.iter().enumerate() {
+        // Under keys before, between and after those of the nodes.
+        for key in ["a", "vm-0a", "zz"] {
+            deployment.store.put("nodes", &format!("{key}-{number}"), value.as_bytes());
+        }
+        deployment.store.put("op", &format!("evacuate/{number}"), value.as_bytes());
+        deployment.store.put("op", &format!("other-{number}"), value.as_bytes());
+    }
+    deployment.store.put("nodes", "vm-1", row("vm-1", "7600", far).as_bytes());
+    deployment.store.put_raw("nodes", "raw", "no base64!");
+    deployment.store.put_raw("op", "raw", "no base64!");
+    check(&mut deployment, "odd rows").await;
+    deployment.set_routes(&[("/safe/", "a", "safe")]);
+    let known = eventually(Duration::from_secs(2), async || deployment.is_current(1).await);
+    assert!(known.await, "the operator's table is followed no more");
+    for at in [0, 1] {
+        deployment.vms[at].kill().await;
+        deployment.start_node(at);
+    }
+    let deployment = Arc::new(deployment);
+    let serves = async || {
+        let request = TestRequest { id: "again", ..TestRequest::default() };
+        let answer = deployment.send_request(1, &request).await;
+        answer.is_some_and(|answer| answer.status == 200)
+    };
+    assert!(eventually(Duration::from_secs(5), serves).await, "the nodes do not find each other");
+}
+
 #[tokio::test]
 async fn rows_that_cannot_be_read_are_ignored() {
     let mut deployment = started_deployment().await;
