Believe a refusal without an id on a new connection only

Reported by other operators: a target wrote an earlier refusal once more on a kept connection; callers were told "not run" for requests that ran (REFUSED), or these ran at a second target (TWICE).

Cause: a refusal need not echo the id, and one without was taken as the answer to whatever request waited. Class: an answer is matched by its place. Evidence: a_late_copy_of_a_refusal_refuses_no_other_request failed before: 503 for a request that ran, after a refusal without an id and its copy 2 ms later. Change: a refusal without an id counts only on a connection on which nothing else was sent; on others the attempt is lost and the connection closed. A request is not sent again on a connection on which it was refused, since a copy would bear its own id (from reading; no test shows that case). The stand-in's 421 echoes the id, as the protocol says.

--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -194,7 +194,7 @@
             .map_err(|error| Failure::Unsent(error.to_string()))?;
         let mut detail = String::new();
         for _ in 0..MAX_CONNECTIONS {
-            let mut connection = self.acquire_connection(target).await?;
+            let mut connection = self.acquire_connection(attempt, target).await?;
             let sent = self.clock.now();
             self.metrics.target_requests.inc();
             match connection.send(request).await {
@@ -216,8 +216,12 @@
     }
 
     /// Returns an idle connection, or opens one.
-    async fn acquire_connection(&self, target: &Target) -> Result<Connection, Failure> {
-        let idle = self.pool.take(self.clock.now());
+    async fn acquire_connection(
+        &self,
+        attempt: &Attempt,
+        target: &Target,
+    ) -> Result<Connection, Failure> {
+        let idle = self.pool.take(self.clock.now(), Some(&attempt.id));
         match idle.map_err(|closed| Failure::Unsent(closed.to_string()))? {
             Some(connection) => Ok(connection),
             None => {
@@ -242,14 +246,19 @@
         }
         let (head, body) = response.into_parts();
         let echoed = head.headers.get(headers::REQUEST_ID).map(HeaderValue::as_bytes);
-        // A target that did not run the request need not echo its id.
+        // A target that did not run the request need not echo its id. On a connection that was used
+        // before, such an answer may be a copy of one to an earlier request.
+        let is_refusal = is_not_run(head.status, &head.headers);
         let is_ours = match echoed {
             Some(id) => id == attempt.id.as_bytes(),
-            None => is_not_run(head.status, &head.headers),
+            None => is_refusal && connection.is_first_use(),
         };
         if !is_ours {
             return Err(Failure::Broken("an answer to another request".to_owned()));
         }
+        if is_refusal {
+            connection.record_refusal(&attempt.id);
+        }
         let body = self.bodies.read(body).await.map_err(Failure::Broken)?;
         let until = pool::idle_until(now, &head.headers);
         if connection.is_ready() {
--- a/crates/sidecar/src/guard/pool.rs
+++ b/crates/sidecar/src/guard/pool.rs
@@ -34,6 +34,9 @@
 /// Limit of a connection's buffer, and so of what is read ahead.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Refusals after which a connection is not used again, so that their ids need not be kept.
+const MAX_REFUSED: usize = 32;
+
 /// Idle connections found closed together from which a restart of the target is suspected. A single
 /// one may be closed at any time.
 const CLOSED_BY_RESTART: usize = 2;
@@ -47,6 +50,11 @@
     sender: SendRequest<Full<Bytes>>,
     /// Bytes that may still be read before the head of the answer is complete.
     head_bytes: Arc<AtomicUsize>,
+    /// Requests that were sent on it, health checks included.
+    sent: u32,
+    /// Ids of requests that the target refused on it. A copy of such an answer may still arrive, and
+    /// would be taken for the answer to the same request if that were sent on it once more.
+    refused: Vec<String>,
 }
 
 impl Connection {
@@ -56,12 +64,28 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.sent += 1;
         self.head_bytes.store(MAX_HEAD_BYTES, Ordering::Relaxed);
         let answer = self.sender.try_send_request(request).await;
         self.head_bytes.store(usize::MAX, Ordering::Relaxed);
         answer
     }
 
+    /// Returns whether no more than one request was sent on it, to which every answer on it belongs.
+    pub fn is_first_use(&self) -> bool {
+        self.sent <= 1
+    }
+
+    /// Records that the target refused a request on it.
+    pub fn record_refusal(&mut self, id: &str) {
+        self.refused.push(id.to_owned());
+    }
+
+    /// Returns whether a request with this id can be sent on it.
+    fn may_carry(&self, id: Option<&str>) -> bool {
+        id.is_none_or(|id| self.refused.iter().all(|refused| refused != id))
+    }
+
     /// Returns whether it can take a request at once.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -156,26 +180,35 @@
 }
 
 impl Pool {
-    /// Returns an idle connection that can be used, if any. Fails if several were idle and the
-    /// target closed all of them before they expired, since it may have restarted.
-    pub fn take(&self, now: Time) -> Result<Option<Connection>, AllClosed> {
+    /// Returns an idle connection that can be used for a request with this id, or for a health check
+    /// without one. Fails if several were idle and the target closed all of them before they expired,
+    /// since it may have restarted.
+    pub fn take(&self, now: Time, id: Option<&str>) -> Result<Option<Connection>, AllClosed> {
         let mut idle = self.idle.borrow_mut();
         let mut closed = 0;
-        while let Some((connection, until)) = idle.pop_front() {
-            if until <= now {
+        let mut at = 0;
+        while at < idle.len() {
+            let (connection, until) = &idle[at];
+            let is_usable = *until > now && connection.is_ready();
+            if is_usable && !connection.may_carry(id) {
+                at += 1;
                 continue;
             }
-            if connection.is_ready() {
-                return Ok(Some(connection));
+            closed += usize::from(*until > now && !is_usable);
+            let taken = idle.remove(at);
+            if is_usable {
+                return Ok(taken.map(|(connection, _)| connection));
             }
-            closed += 1;
         }
-        if closed >= CLOSED_BY_RESTART { Err(AllClosed) } else { Ok(None) }
+        if closed >= CLOSED_BY_RESTART && idle.is_empty() { Err(AllClosed) } else { Ok(None) }
     }
 
     /// Returns a connection to the pool, to be used again before the time `until`. Its last answer
     /// must have been read whole.
     pub fn put(&self, connection: Connection, until: Time) {
+        if connection.refused.len() >= MAX_REFUSED {
+            return;
+        }
         self.idle.borrow_mut().push_back((connection, until));
     }
 
@@ -196,7 +229,7 @@
     let (mut sender, connection) = handshake.await.map_err(io::Error::other)?;
     tokio::spawn(connection);
     sender.ready().await.map_err(io::Error::other)?;
-    Ok(Connection { sender, head_bytes })
+    Ok(Connection { sender, head_bytes, sent: 0, refused: Vec::new() })
 }
 
 /// Returns until when a connection may be idle after an answer with these headers, by the timeout
--- a/crates/sidecar/src/guard/probe.rs
+++ b/crates/sidecar/src/guard/probe.rs
@@ -92,7 +92,7 @@
 async fn check_pooled(guard: &Rc<Guard>) -> std::io::Result<Head> {
     let target = guard.state.borrow().target.clone();
     let target = target.ok_or_else(|| std::io::Error::other("no target"))?;
-    let idle = guard.pool.take(guard.clock.now()).map_err(|closed| {
+    let idle = guard.pool.take(guard.clock.now(), None).map_err(|closed| {
         guard.suspect(&closed.to_string());
         std::io::Error::other(closed)
     })?;
