--- a/crates/sidecar/tests/soak.rs
+++ b/crates/sidecar/tests/soak.rs
@@ -10,15 +10,18 @@
     seed: u64,
     /// How long faults are injected, until after the moment at which the guarantee was violated.
     seconds: u64,
+    /// Whether all open connections go silent at times.
+    silences: bool,
     /// The violation that was once seen with this seed.
     cause: &'static str,
 }
 
 async fn promises_hold(case: Case) {
-    let Case { seed, seconds, cause } = case;
+    let Case { seed, seconds, silences, cause } = case;
     let duration = Duration::from_secs(seconds);
     let program = NODE.to_owned();
-    let report = soak::run(&SoakSettings { seed, duration, vms: 6, program, logs: None }).await;
+    let settings = SoakSettings { seed, duration, vms: 6, program, logs: None, silences };
+    let report = soak::run(&settings).await;
     let faults = report.faults.join("\n");
     assert!(report.violations.is_empty(), "{seed} ({cause}): {:?}\n{faults}", report.violations);
     assert!(report.served > 500, "{seed}: {} served", report.served);
@@ -26,7 +29,13 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_with_seed_106() {
-    promises_hold(Case { seed: 106, seconds: 12, cause: "none; an ordinary seed" }).await;
+    promises_hold(Case {
+        seed: 106,
+        seconds: 12,
+        silences: false,
+        cause: "none; an ordinary seed",
+    })
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -34,6 +43,7 @@
     let case = Case {
         seed: 248,
         seconds: 13,
+        silences: false,
         cause: "DRAIN: a target known only from a health check deregistered with its start time",
     };
     promises_hold(case).await;
@@ -44,7 +54,14 @@
     let case = Case {
         seed: 236,
         seconds: 21,
+        silences: false,
         cause: "FAILBACK: the check counted requests after the target's cold time was cut short",
     };
     promises_hold(case).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_while_connections_go_silent() {
+    let case = Case { seed: 107, seconds: 15, silences: true, cause: "none; an ordinary seed" };
+    promises_hold(case).await;
+}
