Number the beacons of watchers, so that copies are not passed on

Cause: a beacon was told from a copy by its age, which leaves out how long it was on its way. On nodes with much work a copy looked younger by the time that it waited there, counted as a new beacon, and was passed on to three peers again, for ever; it would also have kept a dead watcher alive. Class: an echo that sustains itself under load.

Change: beacons carry the start of the process and a number that grows, and only a higher number counts; numbers are remembered for a minute. Nodes of earlier versions send another datagram, which is ignored.

The policy's tests and sidecar's operators, malformed and rulesets hold.

--- a/crates/policy/src/watch.rs
+++ b/crates/policy/src/watch.rs
@@ -25,6 +25,9 @@
 const MANY_DATA_CENTRES: usize = 3;
 /// Limit of the nodes of a data centre that try to watch while the store refuses some of them.
 const MAX_CANDIDATES: usize = 4;
+/// How long the number of a node's last beacon is remembered, in microseconds, so that a copy of an
+/// earlier one that comes late is not taken for a new one.
+const MEMORY_US: u64 = 60_000_000;
 /// What a node said of itself counts for this long, in microseconds: five beacons, so that some may
 /// be lost or late.
 pub const VALID_US: u64 = 1_000_000;
@@ -63,6 +66,11 @@
 pub struct Watcher {
     /// Its name.
     pub name: Name,
+    /// The start of its process in milliseconds since 1970.
+    pub started: u64,
+    /// Grows with each beacon of one process. Copies of a beacon arrive by several ways and late, and
+    /// must not be passed on again.
+    pub number: u64,
     /// The revision of its ruleset at that time.
     pub revision: u64,
     /// Whether it received changes from the store, or had just stopped to.
@@ -78,8 +86,15 @@
     Nobody,
     /// To a few: a watcher still watches.
     Some,
-    /// To all: a node began or stopped to watch.
-    Everybody,
+    /// To more: a node began or stopped to watch.
+    Many,
+}
+
+impl Watcher {
+    /// Returns what orders the beacons of one node.
+    fn position(&self) -> (u64, u64) {
+        (self.started, self.number)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -89,11 +104,28 @@
     at: Time,
 }
 
+impl Listed {
+    /// Returns whether what it said still counts.
+    fn is_valid(&self, now: Time) -> bool {
+        now.since(self.at) < VALID_US
+    }
+
+    /// Returns whether it watches, as far as is known.
+    fn is_active(&self, now: Time) -> bool {
+        self.watcher.active && self.is_valid(now)
+    }
+}
+
 /// The watchers of a node's own data centre, as far as that node knows.
 #[derive(Clone, Debug)]
 pub struct Watchers {
     local: Name,
-    /// Sorted by name; includes this node if it watches or has just stopped.
+    /// The start of this process, as in [`Watcher::started`].
+    started: u64,
+    /// The number of this node's last beacon.
+    number: u64,
+    /// Sorted by name; includes this node if it watches or has stopped. Those that are not valid any
+    /// more are kept for their numbers.
     listed: Vec<Listed>,
     /// Since when too few other watchers were known; may lie ahead at a start. `None` while there
     /// are enough.
@@ -102,10 +134,10 @@
 
 impl Watchers {
     /// Creates the list of a node that knows no watcher, and does not take over before a while
-    /// after `earliest`.
-    pub fn new(earliest: Time, local: Name) -> Watchers {
+    /// after `earliest`. `started` is the start of this process, as in [`Watcher::started`].
+    pub fn new(earliest: Time, local: Name, started: u64) -> Watchers {
         let few_since = Some(earliest.after(FIRST_TAKEOVER_US - TAKEOVER_US));
-        Watchers { local, listed: Vec::new(), few_since }
+        Watchers { local, started, number: 0, listed: Vec::new(), few_since }
     }
 
     /// Records whether this node watches: the revision of its ruleset if it does. Returns whether
@@ -114,9 +146,16 @@
         let own = self.listed.iter().find(|listed| listed.watcher.name == self.local);
         let was_active = own.is_some_and(|own| own.watcher.active);
         if revision.is_some() || was_active {
-            let (name, active) = (self.local.clone(), revision.is_some());
-            let revision = revision.unwrap_or_default();
-            self.insert(Listed { watcher: Watcher { name, revision, active, age_us: 0 }, at: now });
+            self.number += 1;
+            let watcher = Watcher {
+                name: self.local.clone(),
+                started: self.started,
+                number: self.number,
+                revision: revision.unwrap_or_default(),
+                active: revision.is_some(),
+                age_us: 0,
+            };
+            self.insert(Listed { watcher, at: now });
         }
         was_active != revision.is_some()
     }
@@ -124,24 +163,21 @@
     /// Merges what a peer of the same data centre passed on, and returns to whom it must be passed
     /// on.
     pub fn merge(&mut self, now: Time, received: &[Watcher]) -> PassOn {
-        self.expire(now);
+        self.forget(now);
         let mut pass_on = PassOn::Nobody;
         for watcher in received {
-            if watcher.name == self.local {
+            let at = Time(now.0.saturating_sub(watcher.age_us));
+            if watcher.name == self.local || now.since(at) >= VALID_US {
                 continue;
             }
-            let at = Time(now.0.saturating_sub(watcher.age_us));
             let known = self.listed.iter().find(|listed| listed.watcher.name == watcher.name);
-            if now.since(at) >= VALID_US || known.is_some_and(|known| known.at >= at) {
+            if known.is_some_and(|known| known.watcher.position() >= watcher.position()) {
                 continue;
             }
-            let changed = known.is_some_and(|known| known.watcher.active) != watcher.active;
-            // The same beacon arrives by several ways, and its age by each is a little different.
-            let is_next = known.is_none_or(|known| at.since(known.at) >= BEACON_INTERVAL_US / 2);
-            pass_on = pass_on.max(match (changed, is_next) {
-                (true, _) => PassOn::Everybody,
-                (false, true) => PassOn::Some,
-                (false, false) => PassOn::Nobody,
+            let was_active = known.is_some_and(|known| known.is_active(now));
+            pass_on = pass_on.max(match was_active == watcher.active {
+                true => PassOn::Some,
+                false => PassOn::Many,
             });
             self.insert(Listed { watcher: watcher.clone(), at });
         }
@@ -149,11 +185,10 @@
     }
 
     /// Returns what to pass on.
-    pub fn list(&mut self, now: Time) -> Vec<Watcher> {
-        self.expire(now);
+    pub fn list(&self, now: Time) -> Vec<Watcher> {
         let with_age =
             |listed: &Listed| Watcher { age_us: now.since(listed.at), ..listed.watcher.clone() };
-        self.listed.iter().map(with_age).collect()
+        self.listed.iter().filter(|listed| listed.is_valid(now)).map(with_age).collect()
     }
 
     /// Returns whether this node is to try to watch the table. `tries` is whether it does so
@@ -166,12 +201,11 @@
         rank: usize,
         data_centres: usize,
     ) -> bool {
-        self.expire(now);
         let wanted = if data_centres < MANY_DATA_CENTRES { WATCHERS } else { WATCHERS_OF_MANY };
         let others = self
             .listed
             .iter()
-            .filter(|listed| listed.watcher.active && listed.watcher.name != self.local);
+            .filter(|listed| listed.is_active(now) && listed.watcher.name != self.local);
         let (count, before) = others.fold((0, 0), |(count, before), other| {
             (count + 1, before + usize::from(other.watcher.name < self.local))
         });
@@ -186,10 +220,9 @@
 
     /// Returns whether a watcher has no newer ruleset than `revision`, so that no newer one is
     /// likely to be in force elsewhere.
-    pub fn confirms(&mut self, now: Time, revision: u64) -> bool {
-        self.expire(now);
+    pub fn confirms(&self, now: Time, revision: u64) -> bool {
         let current =
-            |listed: &Listed| listed.watcher.active && listed.watcher.revision <= revision;
+            |listed: &Listed| listed.is_active(now) && listed.watcher.revision <= revision;
         self.listed.iter().any(current)
     }
 
@@ -201,7 +234,7 @@
         }
     }
 
-    fn expire(&mut self, now: Time) {
-        self.listed.retain(|listed| now.since(listed.at) < VALID_US);
+    fn forget(&mut self, now: Time) {
+        self.listed.retain(|listed| now.since(listed.at) < MEMORY_US);
     }
 }
--- a/crates/policy/tests/watch.rs
+++ b/crates/policy/tests/watch.rs
@@ -38,7 +38,7 @@
     fn open(count: usize) -> DataCentre {
         let node = |at: usize| {
             let name: Name = format!("vm-{at:03}").into();
-            let watchers = Watchers::new(Time(0), name);
+            let watchers = Watchers::new(Time(0), name, 1);
             Node { watchers, tries: false, answered: true, alive: true, died: Time(0) }
         };
         DataCentre {
@@ -91,7 +91,7 @@
             match self.nodes[to].watchers.merge(self.now, &list) {
                 PassOn::Nobody => {}
                 PassOn::Some => self.pass_on(to, RELAY_LINKS),
-                PassOn::Everybody => self.pass_on(to, usize::MAX),
+                PassOn::Many => self.pass_on(to, BEACON_LINKS),
             }
         }
     }
@@ -197,24 +197,49 @@
     assert_eq!(data_centre.watching(), [0, 1]);
 }
 
+fn beacon(revision: u64, active: bool, age_us: u64) -> Watcher {
+    Watcher { name: "vm-1".into(), started: 1, number: 1, revision, active, age_us }
+}
+
+// Guards against beacons that nodes pass on to each other for ever: a copy that took longer than the
+// time between two beacons looks younger than it is, and would also keep a dead watcher alive.
+#[test]
+fn a_copy_of_a_beacon_is_never_passed_on_twice() {
+    let mut watchers = Watchers::new(Time(0), "vm-0".into(), 1);
+    let first = beacon(5, true, 0);
+    assert_eq!(watchers.merge(Time(60_000 * MS), std::slice::from_ref(&first)), PassOn::Many);
+    // Copies come back late from nodes with much work, again and again, and their ages leave out how
+    // long they were on their way.
+    for ms in (60_150..75_000).step_by(150) {
+        let now = Time(ms * MS);
+        assert_eq!(watchers.merge(now, std::slice::from_ref(&first)), PassOn::Nobody, "at {ms} ms");
+        assert_eq!(watchers.confirms(now, 5), ms < 61_000, "at {ms} ms");
+    }
+    let now = Time(75_000 * MS);
+    let next = Watcher { number: 2, ..first.clone() };
+    assert_eq!(watchers.merge(now, &[next]), PassOn::Many);
+    let stopped = Watcher { number: 3, active: false, ..first.clone() };
+    assert_eq!(watchers.merge(now, &[stopped]), PassOn::Many);
+    let restarted = Watcher { started: 2, ..first };
+    assert_eq!(watchers.merge(now, &[restarted]), PassOn::Many);
+}
+
 #[test]
 fn a_watcher_confirms_only_a_revision_that_is_not_older_than_its_own() {
-    let watcher =
-        |revision, active, age_us| Watcher { name: "vm-1".into(), revision, active, age_us };
     struct Case {
         received: Watcher,
         confirms: bool,
     }
     let cases = [
-        Case { received: watcher(5, true, 0), confirms: true },
-        Case { received: watcher(4, true, 900 * MS), confirms: true },
-        Case { received: watcher(6, true, 0), confirms: false },
-        Case { received: watcher(5, false, 0), confirms: false },
-        Case { received: watcher(5, true, 1_000 * MS), confirms: false },
+        Case { received: beacon(5, true, 0), confirms: true },
+        Case { received: beacon(4, true, 900 * MS), confirms: true },
+        Case { received: beacon(6, true, 0), confirms: false },
+        Case { received: beacon(5, false, 0), confirms: false },
+        Case { received: beacon(5, true, 1_000 * MS), confirms: false },
     ];
     for Case { received, confirms } in cases {
         let now = Time(60_000 * MS);
-        let mut watchers = Watchers::new(now, "vm-0".into());
+        let mut watchers = Watchers::new(now, "vm-0".into(), 1);
         watchers.merge(now, std::slice::from_ref(&received));
         assert_eq!(watchers.confirms(now, 5), confirms, "{received:?}");
     }
--- a/crates/sidecar/src/peers/membership.rs
+++ b/crates/sidecar/src/peers/membership.rs
@@ -72,7 +72,7 @@
         let earliest = if first_start { now.after(FIRST_TAKEOVER_US) } else { now };
         Membership {
             members: RefCell::new(Members::new(now, local)),
-            watchers: RefCell::new(Watchers::new(earliest, node.name.clone())),
+            watchers: RefCell::new(Watchers::new(earliest, node.name.clone(), node.started)),
             syncs: Cell::new(0),
             begun_syncs: Cell::new(0),
             alone: Cell::new(false),
@@ -171,7 +171,7 @@
         match pass_on {
             PassOn::Nobody => {}
             PassOn::Some => self.send_watchers(RELAY_PEERS),
-            PassOn::Everybody => self.send_watchers(usize::MAX),
+            PassOn::Many => self.send_watchers(BEACON_PEERS),
         }
     }
 
@@ -188,8 +188,8 @@
 
     /// Returns the encoded list of watchers. `None` if there are none.
     pub(super) fn watchers_datagram(&self) -> Option<bytes::Bytes> {
-        let list = self.membership.watchers.borrow_mut().list(self.clock.now());
-        if list.is_empty() { None } else { encode(&Datagram::Watchers(list)) }
+        let list = self.membership.watchers.borrow().list(self.clock.now());
+        if list.is_empty() { None } else { encode(&Datagram::Beacons(list)) }
     }
 
     /// Introduces this node to a peer on a new link, tells it of requests that crash targets, and
@@ -341,7 +341,7 @@
     pub fn is_ruleset_current(&self) -> bool {
         let revision = self.rules.revision();
         self.rules.is_watching()
-            || self.membership.watchers.borrow_mut().confirms(self.clock.now(), revision)
+            || self.membership.watchers.borrow().confirms(self.clock.now(), revision)
     }
 }
 
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -69,7 +69,8 @@
                 peer.record_received(peers.now());
                 peers.handle_member_message(*message);
             }
-            Ok(Datagram::Watchers(watchers)) => peers.handle_watchers(&peer, &watchers),
+            Ok(Datagram::Watchers(_)) => peer.record_received(peers.now()),
+            Ok(Datagram::Beacons(watchers)) => peers.handle_watchers(&peer, &watchers),
             Err(error) => tracing::warn!(%error, "peers: cannot decode a datagram"),
         }
     }
--- a/crates/sidecar/tests/malformed.rs
+++ b/crates/sidecar/tests/malformed.rs
@@ -266,7 +266,14 @@
         version: u64::MAX,
         news: vec![extreme_member("vm-0"), extreme_member("vm-1"), extreme_member("")],
     };
-    let watcher = Watcher { name: "".into(), revision: u64::MAX, active: true, age_us: u64::MAX };
+    let watcher = Watcher {
+        name: "".into(),
+        started: u64::MAX,
+        number: u64::MAX,
+        revision: u64::MAX,
+        active: true,
+        age_us: u64::MAX,
+    };
     let frames: Vec<Vec<u8>> = vec![
         vec![1, 255, 255, 255, 255],
         vec![1, 4, 0, 0, 0, 250, 250, 250, 250],
@@ -284,7 +291,7 @@
         vec![255; 900],
         wire::encode(&Datagram::Status(Box::new(status))).unwrap(),
         wire::encode(&Datagram::Member(Box::new(message))).unwrap(),
-        wire::encode(&Datagram::Watchers(vec![watcher; 20])).unwrap(),
+        wire::encode(&Datagram::Beacons(vec![watcher; 20])).unwrap(),
     ];
     for greets in [false, true] {
         let (_endpoint, connection) = link(address).await;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -131,8 +131,24 @@
     Status(Box<Status>),
     /// Carries a membership message. Any answer is a datagram of its own.
     Member(Box<MemberMessage>),
+    /// The same as [`Datagram::Beacons`], from nodes of earlier versions. Their beacons have no numbers,
+    /// so that copies of them circulate, and are ignored.
+    Watchers(Vec<EarlierWatcher>),
     /// Passes on which nodes of the sender's data centre watch the operator's table.
-    Watchers(Vec<Watcher>),
+    Beacons(Vec<Watcher>),
+}
+
+/// What a node of an earlier version said of its watch on the operator's table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EarlierWatcher {
+    /// Its name.
+    pub name: Name,
+    /// The revision of its ruleset at that time.
+    pub revision: u64,
+    /// Whether it watched.
+    pub active: bool,
+    /// How long ago it said so, in microseconds.
+    pub age_us: u64,
 }
 
 /// An answer to a [`Frame`].
