Notify of the watch only when it begins or ends

Change: receivers are notified of changes only; one constant. Measured: policy's and sidecar's tests of watchers and limits hold. Processor time was not measured apart.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Time;
+use crate::named_rate::MIN_PER_S;
 
 /// The weight of a reported slowness decays by the factor e over this time, in microseconds:
 /// neighbours keep a VM busy for about a tenth of a second at a time.
@@ -46,8 +47,6 @@
 /// A target in the same data centre is not preferred from this slowness on, in tenths as in
 /// [`Report::slowness`].
 const NEAR_SLOWNESS_LIMIT: u8 = 20;
-/// The least rate by which the wait at a target that names a limit is estimated, in requests a second.
-const MIN_LIMIT_PER_S: f64 = 0.5;
 /// The expected wait until a slow VM is fast again, in microseconds: half more than one busy period
 /// of its neighbours.
 const QUIET_WAIT_US: f64 = 150_000.0;
@@ -205,7 +204,7 @@
     fn limit_wait_us(&self) -> f64 {
         let Some(per_s) = self.named_limit else { return 0.0 };
         let ahead = f64::from(self.sent) - f64::from(self.report.free);
-        (ahead + 1.0).max(0.0) * 1e6 / per_s.max(MIN_LIMIT_PER_S)
+        (ahead + 1.0).max(0.0) * 1e6 / per_s.max(MIN_PER_S)
     }
 }
 
--- a/crates/policy/src/named_rate.rs
+++ b/crates/policy/src/named_rate.rs
@@ -10,7 +10,7 @@
 const BURST_S: f64 = 0.25;
 /// The rate that is used at least, in requests a second: without any request, nobody would notice
 /// that the limit was lifted.
-const MIN_PER_S: f64 = 0.5;
+pub(crate) const MIN_PER_S: f64 = 0.5;
 /// The rate from which on a limit has no effect, in requests a second.
 const MAX_PER_S: f64 = 1e6;
 
--- a/crates/sidecar/src/configuration/active.rs
+++ b/crates/sidecar/src/configuration/active.rs
@@ -112,7 +112,7 @@
 
     /// Records that this node stopped watching the table because other nodes watch it.
     pub fn stop_watching(&self) {
-        if self.watching.send_replace(false) {
+        if self.replace_watching(false) {
             tracing::info!("store: other nodes watch the operator's table, this one stopped");
         }
     }
@@ -125,7 +125,7 @@
         if watching {
             self.answered_at.set(now);
         }
-        if self.watching.send_replace(watching) == watching {
+        if !self.replace_watching(watching) {
             return;
         }
         match watching {
@@ -133,4 +133,9 @@
             false => tracing::warn!(detail, silent_us, "store: cannot watch the operator's table"),
         }
     }
+
+    /// Sets whether the store answers this node's watch. Returns whether that changed.
+    fn replace_watching(&self, watching: bool) -> bool {
+        self.watching.send_if_modified(|known| std::mem::replace(known, watching) != watching)
+    }
 }
