--- a/crates/sidecar/tests/soak.rs
+++ b/crates/sidecar/tests/soak.rs
@@ -65,3 +65,25 @@
     let case = Case { seed: 107, seconds: 15, silences: true, cause: "none; an ordinary seed" };
     promises_hold(case).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_with_seed_622() {
+    let case = Case {
+        seed: 622,
+        seconds: 12,
+        silences: true,
+        cause: "DRAIN: after all nodes died, a leaving target passed a health check",
+    };
+    promises_hold(case).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_with_seed_641() {
+    let case = Case {
+        seed: 641,
+        seconds: 8,
+        silences: true,
+        cause: "DRAIN: after all nodes died, a target that had deregistered passed a health check",
+    };
+    promises_hold(case).await;
+}
