Stand-in: malformed and odd messages in a file of their own

Change: bodies of heartbeats and garbage move to platform/standin/src/malformed.rs; a help text and comments say "first notice" of a revision.

--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -49,7 +49,7 @@
     revision: Gauge<u64, AtomicU64>,
     /// The newest revision that the node has heard of.
     pub heard_revision: Gauge<u64, AtomicU64>,
-    /// Seconds from the first news of a revision until it was in force.
+    /// Seconds from the first notice of a revision until it was in force.
     ruleset_wait: Histogram,
 }
 
@@ -60,7 +60,7 @@
             Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S));
         registry.register("call_seconds", "Time until the answer", latency.clone());
         let ruleset_wait = Histogram::new(RULESET_BOUNDS_S);
-        let help = "Time from the first news of a revision until it was in force";
+        let help = "Time from the first notice of a revision until it was in force";
         registry.register("ruleset_wait_seconds", help, ruleset_wait.clone());
         let target_limit = Gauge::<f64, AtomicU64>::default();
         target_limit.set(-1.0);
@@ -102,7 +102,7 @@
         self.latency.get_or_create(&labels).observe(seconds);
     }
 
-    /// Records that a ruleset is in force, `seconds` after the first news of its revision.
+    /// Records that a ruleset is in force, `seconds` after the first notice of its revision.
     pub fn record_ruleset(&self, revision: u64, seconds: f64) {
         self.revision.set(revision);
         self.ruleset_wait.observe(seconds);
--- a/crates/sidecar/tests/malformed.rs
+++ b/crates/sidecar/tests/malformed.rs
@@ -8,7 +8,8 @@
 use policy::{Health, Member, MemberMessage, MessageKind, Watcher};
 use quinn::{Connection, Endpoint};
 use standin::caller::{Caller, TestRequest};
-use standin::deployment::{Deployment, eventually, garbage};
+use standin::deployment::{Deployment, eventually};
+use standin::malformed::{garbage, heartbeat_body, nested, odd_heartbeats};
 use wire::link::{Attempt, Datagram, Frame, Hello, Life, Node, Status};
 use wire::tls::{self, SERVER_NAME, Timing, Trust};
 
@@ -75,53 +76,21 @@
     check(&mut deployment, "an unknown service").await;
 }
 
-/// Returns a JSON value that is nested so deeply that decoding it by recursion overflows a stack.
-fn nested() -> String {
-    const DEPTH: usize = 20_000;
-    format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH))
-}
-
 // Guards against an odd heartbeat of another writer that ends the process, that takes the place of the
 // target, or that makes the node ignore the target's own heartbeats from then on.
 #[tokio::test]
 async fn an_odd_heartbeat_names_no_target_and_hides_none() {
     let mut deployment = started_deployment().await;
     let ip = deployment.vms[0].ip;
-    let valid = format!(
-        r#"{{"service":"a","address":"{ip}:8628","slots":8,"state":"ready","warmupLeftS":0,"sequence":9,"born":1000}}"#
-    );
-    struct Case {
-        from: &'static str,
-        to: String,
-    }
-    let case = |from, to: &str| Case { from, to: to.to_owned() };
-    let cases = [
-        case("\"slots\":8", &format!("\"slots\":{}", nested())),
-        case("\"slots\":8", "\"slots\":1e400"),
-        case("\"slots\":8", "\"slots\":99999999999999999999999"),
-        case("\"slots\":8", "\"slots\":4294967295"),
-        case("\"slots\":8", "\"slots\":-1"),
-        case("\"sequence\":9", "\"sequence\":1e30"),
-        case("\"sequence\":9", "\"sequence\":18446744073709551615"),
-        case("\"warmupLeftS\":0", "\"warmupLeftS\":1e308"),
-        case("\"warmupLeftS\":0", "\"warmupLeftS\":999999"),
-        case("\"born\":1000", "\"born\":18446744073709551615"),
-        case("\"born\":1000", "\"born\":99999999999999"),
-        case(":8628", ":0"),
-        case(":8628", ":70000"),
-        case(":8628", ":-1"),
-        case("127.", "999."),
-    ];
     let path = "/api/rpc?call=instances.heartbeat&of=i-vm-0";
-    for Case { from, to } in cases {
-        let body = valid.replace(from, &to);
-        assert_ne!(body, valid, "{from}");
-        let shown: String = to.chars().take(60).collect();
+    for body in odd_heartbeats(ip) {
+        let shown: String = body.chars().take(200).collect();
+        assert_ne!(body, heartbeat_body(ip, "9", ""), "{shown}");
         assert_eq!(deployment.vms[0].send_control(path, &body).await, 400, "{shown}");
-        check(&mut deployment, &shown).await;
+        check(&mut deployment, "an odd heartbeat").await;
     }
     // A field that is not known is ignored, however it looks.
-    let body = valid.replace("\"sequence\":9", &format!("\"sequence\":1,\"other\":{}", nested()));
+    let body = heartbeat_body(ip, "1", &format!(",\"other\":{}", nested()));
     assert_eq!(deployment.vms[0].send_control(path, &body).await, 200);
     check(&mut deployment, "a nested field").await;
     // The target's own heartbeats still count.
--- a/crates/sidecar/tests/targets.rs
+++ b/crates/sidecar/tests/targets.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use standin::caller::TestRequest;
-use standin::deployment::{Deployment, MALFORMED_HEARTBEATS, eventually};
+use standin::deployment::{Deployment, eventually};
+use standin::malformed::MALFORMED_HEARTBEATS;
 
 const NODE: &str = env!("CARGO_BIN_EXE_bamboowheel-sidecar");
 
