review: the cases read once more, as one who defends the software would

Case 3: the first heartbeat is late by 1.4 s, less than one interval. Case 4: the site's warmupPerS of 38 and random intervals, in place of 10 and a fixed rhythm.

--- a/review/stands/src/bin/cold.rs
+++ b/review/stands/src/bin/cold.rs
@@ -14,7 +14,11 @@
 const OVERAGE: f64 = 1.5;
 const SLACK: f64 = 5.0;
 /// How long a killed process is away.
-const RESTART: Duration = Duration::from_millis(300);
+const RESTART: Duration = Duration::from_millis(500);
+/// How often a client tries again after a refusal, as on the site.
+const RETRIES: u32 = 2;
+/// The deadline of an order.
+const DEADLINE: Duration = Duration::from_millis(1_500);
 /// `warmupS`.
 const WARMUP: Duration = Duration::from_secs(3);
 
@@ -45,8 +49,8 @@
 async fn main() {
     let mut arguments = std::env::args().skip(1);
     let case = match arguments.next().as_deref() {
-        Some("restart") => Case { restart: true, cold_per_s: 38.0, rate: 150 },
-        Some("again") => Case { restart: false, cold_per_s: 10.0, rate: 30 },
+        Some("restart") => Case { restart: true, cold_per_s: 38.0, rate: 190 },
+        Some("again") => Case { restart: false, cold_per_s: 38.0, rate: 100 },
         _ => std::process::exit(CANNOT_RUN),
     };
     let file = arguments.next().map_or_else(|| PathBuf::from("record.txt"), PathBuf::from);
@@ -103,7 +107,7 @@
         }
         cold = deployment.machines[2].backend.cold_time();
         deployment.machines[2].backend.set_cold_crash(case.crash());
-        tokio::time::sleep(Duration::from_millis(400)).await;
+        tokio::time::sleep(Duration::from_millis(250)).await;
         if trouble() {
             record.say("SIGKILL to the node beside the cold backend");
             deployment.machines[2].kill().await;
@@ -171,25 +175,37 @@
     if most > bound { BROKEN } else { HELD }
 }
 
-/// Sends orders at the machines in turn.
+/// Sends orders at the machines in turn, at random intervals. A client that is refused tries again
+/// as it is told, within its deadline.
 async fn order(addresses: Vec<SocketAddr>, rate: u64, record: Record) {
-    let mut interval = tokio::time::interval(Duration::from_micros(1_000_000 / rate));
+    let mut next = tokio::time::Instant::now();
     for number in 0.. {
-        interval.tick().await;
+        let draw: f64 = rand::random();
+        next += Duration::from_secs_f64(-(1.0 - draw).ln() / rate as f64);
+        tokio::time::sleep_until(next).await;
         let (address, record) = (addresses[number % addresses.len()], record.clone());
         tokio::spawn(async move {
-            let id = format!("order-{number}");
-            let path = format!("/order/{number}");
-            let call = Call {
-                method: "POST",
-                path: &path,
-                id: &id,
-                timeout_ms: 1_500,
-                headers: "X-Work-Ms: 70\r\n",
-                body: b"{}",
-            };
-            let done = send(address, &call).await;
-            record.line(format!("client gets {} for {id}", done.end.text()));
+            let until = Instant::now() + DEADLINE;
+            for attempt in 0..=RETRIES {
+                let id = format!("order-{number}-{attempt}");
+                let path = format!("/order/{number}");
+                let left = until.saturating_duration_since(Instant::now());
+                let call = Call {
+                    method: "POST",
+                    path: &path,
+                    id: &id,
+                    timeout_ms: left.as_millis() as u64,
+                    headers: "X-Work-Ms: 64\r\n",
+                    body: b"{}",
+                };
+                let done = send(address, &call).await;
+                record.line(format!("client gets {} for {id}", done.end.text()));
+                let wait = done.end.retry_after();
+                if done.end.status() != 503 || Instant::now() + wait >= until {
+                    return;
+                }
+                tokio::time::sleep(wait).await;
+            }
         });
     }
 }
--- a/review/stands/src/bin/memory.rs
+++ b/review/stands/src/bin/memory.rs
@@ -104,7 +104,8 @@
             headers: "X-Work-Ms: 350\r\n",
             body,
         };
-        if connection.send(&call(&first, &body[..2_000])).await.end.status() == 200 {
+        let small = connection.send(&call(&first, &body[..2_000])).await.end;
+        if small.status() == 200 {
             let id = format!("upload-{machine}-{client}-{number}");
             record.line(format!("client sends {id}"));
             let done = connection.send(&call(&id, &body)).await;
@@ -112,7 +113,8 @@
             let upload = Upload { machine, id, done };
             uploads.lock().unwrap_or_else(PoisonError::into_inner).push(upload);
         } else {
-            tokio::time::sleep(Duration::from_millis(100)).await;
+            let wait = small.retry_after().max(Duration::from_millis(100));
+            tokio::time::sleep(wait).await;
         }
         number += 1;
     }
--- a/review/stands/src/bin/poison.rs
+++ b/review/stands/src/bin/poison.rs
@@ -9,8 +9,8 @@
 use stands::node::{Deployment, Route};
 use stands::record::{BROKEN, CANNOT_RUN, HELD, Record, trouble};
 
-/// How late the first heartbeat of a backend that started again is.
-const LATE: Duration = Duration::from_secs(2);
+/// How late the first heartbeat of a backend that started again is: less than one interval.
+const LATE: Duration = Duration::from_millis(1_400);
 /// Time between two attempts of the request. A backend is away for 2.5 s.
 const INTERVAL: Duration = Duration::from_millis(3_600);
 /// How often it comes.
--- a/review/stands/src/bin/stop.rs
+++ b/review/stands/src/bin/stop.rs
@@ -95,7 +95,8 @@
                     let id = format!("order-{client}-{number}");
                     let (_, done) = request(other, "POST", "/order/", id, record.clone()).await;
                     if done.end.status() != 200 {
-                        tokio::time::sleep(Duration::from_millis(100)).await;
+                        let wait = done.end.retry_after().max(Duration::from_millis(100));
+                        tokio::time::sleep(wait).await;
                     }
                 }
             })
--- a/review/stands/src/client.rs
+++ b/review/stands/src/client.rs
@@ -49,6 +49,13 @@
         }
     }
 
+    /// Returns how long an answer asks to wait before the next try; zero if it does not.
+    pub fn retry_after(&self) -> Duration {
+        let End::Answer(answer) = self else { return Duration::ZERO };
+        let seconds = answer.header("retry-after").and_then(|text| text.parse().ok());
+        seconds.map_or(Duration::ZERO, |seconds: f64| Duration::from_secs_f64(seconds.max(0.0)))
+    }
+
     /// Returns the answer's status; 0 without an answer.
     pub fn status(&self) -> u16 {
         match self {
