--- a/crates/sidecar/src/entry/attempt.rs
+++ b/crates/sidecar/src/entry/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use platform::headers::{self, NamedLimit};
-use policy::{Refusal, TargetView, Time};
+use policy::{Refusal, Shutdown, TargetView, Time};
 use wire::link::Attempt;
 use world::Name;
 
@@ -62,20 +62,30 @@
     }
 }
 
-/// Runs an attempt until it ends or `deadline` passes. Dropping the future cancels the attempt.
+/// Runs an attempt until it ends or `deadline` passes. Dropping the future cancels the attempt. Once
+/// this node stops, the attempt is begun only if its target is done in time, taking `slow_us`
+/// microseconds at most.
 pub async fn execute(
     entry: Rc<Entry>,
     destination: Destination,
     mut attempt: Attempt,
     body: Bytes,
     deadline: Time,
+    slow_us: u64,
 ) -> Outcome {
     let until = entry.clock.instant(deadline);
+    let start_within = |shutdown: Shutdown| shutdown.starts_until(slow_us).since(entry.clock.now());
+    let stopping = entry.shutdown();
+    if let Some(shutdown) = stopping {
+        wire::add_start_within(&mut attempt.fields, start_within(shutdown));
+    }
     let outcome = match &destination {
         Destination::Local => {
             let own = &entry.peers.own_view;
             own.borrow_mut().sent();
-            let outcome = tokio::time::timeout_at(until, entry.guard.run(attempt, body)).await;
+            let start = entry.guard.track_start(&mut attempt);
+            let run = entry.guard.run(attempt, body, start);
+            let outcome = tokio::time::timeout_at(until, run).await;
             if let Ok(Outcome::Answer(answer)) = &outcome {
                 remember_limit(&mut own.borrow_mut(), answer);
             }
@@ -88,7 +98,16 @@
             if let Some(per_s) = known {
                 wire::add_limit(&mut attempt.fields, per_s);
             }
-            let outcome = tokio::time::timeout_at(until, send(&entry, peer, attempt, body)).await;
+            let id = attempt.id.clone();
+            let sent = tokio::time::timeout_at(until, send(&entry, peer, attempt, body));
+            tokio::pin!(sent);
+            let outcome = tokio::select! {
+                outcome = &mut sent => outcome,
+                shutdown = entry.stopping(), if stopping.is_none() => {
+                    entry.peers.limit_start(peer, id, start_within(shutdown));
+                    sent.await
+                }
+            };
             if let Ok(Outcome::Answer(answer)) = &outcome {
                 remember_limit(&mut peer.view.borrow_mut(), answer);
             }
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -126,7 +126,10 @@
             target_us: 0,
             detail: String::new(),
         };
-        self.peers.use_service(&request.service).await;
+        tokio::select! {
+            () = self.peers.use_service(&request.service) => {}
+            () = self.start_passed(request.slow_work_us()) => {}
+        }
         self.budgets
             .borrow_mut()
             .value_mut(&request.service)
@@ -155,6 +158,10 @@
     async fn run(&mut self) -> Option<Answer> {
         let mut queue_tries = 0;
         while self.entry.clock.now().after(RETURN_US) < self.deadline {
+            if !self.may_start() {
+                self.refusal = Refusal::Draining;
+                return None;
+            }
             let is_immediate = self.attempts < IMMEDIATE_TRIES;
             let destination = match self.choose_destination() {
                 Some(destination) => destination,
@@ -189,6 +196,25 @@
         None
     }
 
+    /// Returns how long a target takes for the request at most in all but a few cases, in
+    /// microseconds.
+    fn slow_work_us(&self) -> u64 {
+        self.entry.estimates.borrow_mut().value_mut(&self.route.name).slow_work_us()
+    }
+
+    /// Returns whether an attempt that starts now ends before this node stops.
+    fn may_start(&self) -> bool {
+        self.entry.shutdown().is_none_or(|shutdown| {
+            self.entry.clock.now() < shutdown.starts_until(self.slow_work_us())
+        })
+    }
+
+    /// Returns when an answer cannot be delivered any more.
+    fn end(&self) -> Time {
+        let cut_at = self.entry.shutdown().map_or(Time::NEVER, |shutdown| shutdown.cut_at());
+        self.deadline.min(cut_at)
+    }
+
     /// Returns where the request should be queued rather than at `destination`, if that one names a
     /// limit: others that refused to run it at once may have a slot sooner.
     fn choose_queue(&mut self, destination: Destination) -> Destination {
@@ -303,15 +329,15 @@
             path: self.path.clone(),
             fields: self.fields.clone(),
             length: self.body.len() as u64,
-            left_us: self.deadline.since(begun).saturating_sub(RETURN_US),
+            left_us: self.end().since(begun).saturating_sub(RETURN_US),
             aim_us: aim.since(begun).saturating_sub(RETURN_US),
             work_us: estimate.work_us as u64,
             priority: self.route.priority,
             elsewhere,
         };
-        let deadline = self.deadline;
+        let (deadline, slow_us) = (self.end(), self.slow_work_us());
         let (entry, destination, body) = (entry.clone(), destination.clone(), self.body.clone());
-        Box::pin(execute(entry, destination, attempt, body, deadline))
+        Box::pin(execute(entry, destination, attempt, body, deadline, slow_us))
     }
 
     /// Runs one attempt. If the request may run twice, a hedged attempt is started beside the first
@@ -363,6 +389,9 @@
     /// Starts a hedged attempt, which the guard runs at once or refuses. None if no destination or
     /// retry budget is left.
     fn start_hedged_attempt(&mut self) -> Option<(Destination, RunningAttempt)> {
+        if !self.may_start() {
+            return None;
+        }
         let destination = self.choose_destination()?;
         if !self.take_retry(self.reached + 1) {
             return None;
--- a/crates/sidecar/src/entry/estimates.rs
+++ b/crates/sidecar/src/entry/estimates.rs
@@ -11,6 +11,13 @@
 const WORK_STEP: f64 = 0.04;
 /// The estimate of the work time before the first answer, in microseconds.
 const INITIAL_WORK_US: f64 = 100_000.0;
+/// How much one answer lowers the estimated time of slow work, as a share of the difference. Answers
+/// that take five times as long as usual come in twenty.
+const SLOW_WEIGHT: f64 = 0.02;
+/// The estimate of the time of slow work before the first answer, in microseconds.
+const INITIAL_SLOW_US: f64 = 1_000_000.0;
+/// Slow work is expected to take at least this many times the median.
+const MIN_SLOW_RATIO: f64 = 2.0;
 /// The estimate of the answer's size before the first answer.
 const INITIAL_BYTES: f64 = 1_000.0;
 
@@ -18,22 +25,35 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RouteEstimate {
     work_us: Median,
+    /// Raised at once by an answer that took longer, and lowered slowly by the others.
+    slow_us: f64,
     bytes: f64,
 }
 
 impl Default for RouteEstimate {
     fn default() -> RouteEstimate {
-        RouteEstimate { work_us: Median::new(INITIAL_WORK_US, WORK_STEP), bytes: INITIAL_BYTES }
+        RouteEstimate {
+            work_us: Median::new(INITIAL_WORK_US, WORK_STEP),
+            slow_us: INITIAL_SLOW_US,
+            bytes: INITIAL_BYTES,
+        }
     }
 }
 
 impl RouteEstimate {
     /// Records an answer: its time in the target, and the size of its body.
     pub fn record_answer(&mut self, took_us: u64, bytes: usize) {
-        self.work_us.add(took_us as f64);
+        let took = took_us as f64;
+        self.work_us.add(took);
+        self.slow_us = took.max(self.slow_us + (took - self.slow_us) * SLOW_WEIGHT);
         self.bytes += (bytes as f64 - self.bytes) * BYTES_WEIGHT;
     }
 
+    /// Returns how long a target takes at most in all but a few cases, in microseconds.
+    pub fn slow_work_us(&self) -> u64 {
+        self.slow_us.max(self.work_us.value() * MIN_SLOW_RATIO) as u64
+    }
+
     /// Returns the estimate for a request with a body of `sent` bytes.
     pub fn request(&self, sent: usize) -> RequestEstimate {
         RequestEstimate { work_us: self.work_us.value(), bytes: self.bytes + sent as f64 }
--- a/crates/sidecar/src/entry/state.rs
+++ b/crates/sidecar/src/entry/state.rs
@@ -4,11 +4,11 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use policy::{RetryBound, TokenBucket};
+use policy::{RetryBound, Shutdown, TokenBucket};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use runtime::Clock;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use world::Name;
 
 use crate::configuration::ActiveRuleset;
@@ -38,7 +38,8 @@
     pub(super) retry_bound: Cell<RetryBound>,
     pub(super) routine_lines: RefCell<TokenBucket>,
     pub(super) notable_lines: RefCell<TokenBucket>,
-    draining: Cell<bool>,
+    /// When the node stops, once it was asked to.
+    shutdown: watch::Sender<Option<Shutdown>>,
     /// Requests that are being served.
     pending: Cell<usize>,
     /// Notified when a request ends.
@@ -69,7 +70,7 @@
             retry_bound: Cell::new(retry_bound),
             routine_lines: RefCell::new(TokenBucket::new(ROUTINE_LINES_PER_S, ROUTINE_LINES_PER_S)),
             notable_lines: RefCell::new(TokenBucket::new(NOTABLE_LINES_PER_S, NOTABLE_LINES_PER_S)),
-            draining: Cell::new(false),
+            shutdown: watch::Sender::new(None),
             pending: Cell::new(0),
             ended: Notify::new(),
         })
@@ -80,15 +81,38 @@
         self.retry_bound.set(bound);
     }
 
-    /// Begins to drain: each connection is closed after its next response, and the node is not
-    /// ready.
-    pub fn drain(&self) {
-        self.draining.set(true);
+    /// Begins to drain: each connection is closed after its next response, the node is not ready,
+    /// and requests that cannot be served by the end of `shutdown` are refused.
+    pub fn drain(&self, shutdown: Shutdown) {
+        self.shutdown.send_replace(Some(shutdown));
+    }
+
+    /// Returns the schedule by which the node stops. `None` unless it was asked to.
+    pub(super) fn shutdown(&self) -> Option<Shutdown> {
+        *self.shutdown.borrow()
+    }
+
+    /// Waits until the node was asked to stop, and returns the schedule.
+    pub(super) async fn stopping(&self) -> Shutdown {
+        let mut shutdown = self.shutdown.subscribe();
+        let stopping = shutdown.wait_for(Option::is_some).await;
+        match stopping.ok().and_then(|shutdown| *shutdown) {
+            Some(shutdown) => shutdown,
+            // The sender is dropped with the entry.
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Waits until a request that takes at most `work_us` microseconds at its target cannot be begun
+    /// any more because the node stops.
+    pub(super) async fn start_passed(&self, work_us: u64) {
+        let until = self.stopping().await.starts_until(work_us);
+        tokio::time::sleep_until(self.clock.instant(until)).await;
     }
 
     /// Returns whether [`Entry::drain`] was called.
     pub fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.shutdown.borrow().is_some()
     }
 
     /// Returns whether the node should get new callers: it has a ruleset and is not draining.
--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -14,6 +14,7 @@
 
 use crate::guard::crashes::fingerprint;
 use crate::guard::pool::{self, Connection};
+use crate::guard::starts::StartLimit;
 use crate::guard::state::{Guard, Target};
 
 /// Connections that are tried before a request that none of them accepted is refused.
@@ -58,19 +59,26 @@
 enum Failure {
     /// The request was not sent: it could not be built, or no connection accepted it.
     Unsent(String),
+    /// The request was not sent, because its limit had passed.
+    Late,
     /// The exchange failed after the request was sent, so the target may have run it.
     Broken(String),
 }
 
 impl Guard {
-    /// Runs an attempt at the target. Dropping the future cancels the attempt, and closes its
-    /// connection so that the target notices.
-    pub async fn run(self: &Rc<Guard>, mut attempt: Attempt, body: Bytes) -> Outcome {
+    /// Runs an attempt at the target, unless it could not be sent there before the limit `start`.
+    /// Dropping the future cancels the attempt, and closes its connection so that the target notices.
+    pub async fn run(
+        self: &Rc<Guard>,
+        mut attempt: Attempt,
+        body: Bytes,
+        start: StartLimit,
+    ) -> Outcome {
         let begun = self.clock.now();
         if let Some(per_s) = wire::take_limit(&mut attempt.fields) {
             self.restore_limit(per_s);
         }
-        let outcome = self.admit_and_send(&attempt, body).await;
+        let outcome = self.admit_and_send(&attempt, body, &start).await;
         self.log(&attempt, &outcome, self.clock.now().since(begun));
         outcome
     }
@@ -119,7 +127,12 @@
     }
 
     /// Waits for a slot, sends the request to the target, and classifies what comes back.
-    async fn admit_and_send(self: &Rc<Guard>, attempt: &Attempt, body: Bytes) -> Outcome {
+    async fn admit_and_send(
+        self: &Rc<Guard>,
+        attempt: &Attempt,
+        body: Bytes,
+        start: &StartLimit,
+    ) -> Outcome {
         let deadline = self.clock.now().after(attempt.left_us);
         let not_run = |refusal| Outcome::NotRun { refusal, reached: false };
         if let Some(refusal) = self.refusal() {
@@ -129,7 +142,12 @@
         if self.is_quarantined(print) {
             return not_run(Refusal::Quarantined);
         }
-        let mut slot = match self.acquire_slot(attempt, deadline).await {
+        let acquired = tokio::select! {
+            biased;
+            acquired = self.acquire_slot(attempt, deadline) => acquired,
+            () = start.passed(self.clock) => Err(Refusal::Late),
+        };
+        let mut slot = match acquired {
             Ok(slot) => slot,
             Err(refusal) => return not_run(refusal),
         };
@@ -143,7 +161,7 @@
         };
         let until = self.clock.instant(deadline);
         let begun = self.clock.now();
-        let exchange = self.exchange(attempt, body, &target, deadline);
+        let exchange = self.exchange(attempt, body, &target, deadline, start);
         match tokio::time::timeout_at(until, exchange).await {
             Err(_) => Outcome::Lost { detail: "the deadline passed".to_owned() },
             Ok(Ok(mut answer)) => {
@@ -152,6 +170,7 @@
                 self.clear(print);
                 self.classify(answer)
             }
+            Ok(Err(Failure::Late)) => not_run(Refusal::Late),
             Ok(Err(Failure::Unsent(detail))) => {
                 self.suspect(&detail);
                 not_run(Refusal::NoTarget)
@@ -188,6 +207,7 @@
         body: Bytes,
         target: &Target,
         deadline: Time,
+        start: &StartLimit,
     ) -> Result<Answer, Failure> {
         let mut request = self
             .build_request(attempt, body, target, deadline)
@@ -196,6 +216,9 @@
         for _ in 0..MAX_CONNECTIONS {
             let mut connection = self.acquire_connection(attempt, target).await?;
             let sent = self.clock.now();
+            if start.has_passed(sent) {
+                return Err(Failure::Late);
+            }
             self.metrics.target_requests.inc();
             match connection.send(request).await {
                 Ok(response) => {
--- a/crates/sidecar/src/guard/mod.rs
+++ b/crates/sidecar/src/guard/mod.rs
@@ -7,6 +7,7 @@
 mod incarnations;
 mod pool;
 mod probe;
+mod starts;
 mod state;
 mod statements;
 
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -18,6 +18,7 @@
 use crate::guard::incarnations::Incarnations;
 use crate::guard::pool::Pool;
 use crate::guard::probe;
+use crate::guard::starts::StartLimits;
 use crate::metrics::Metrics;
 
 /// Share of what a cold target may be sent beyond its rate that is used. The rest is a margin,
@@ -110,6 +111,8 @@
     pub(super) measuring: Cell<bool>,
     /// Notified when a request begins to wait, since that may change what is due next.
     queued: Notify,
+    /// Until when attempts may be sent to the target.
+    pub(super) starts: StartLimits,
     /// Requests that crash their targets, as far as this node knows.
     pub(super) crashes: RefCell<Crashes>,
     /// What this guard found of such requests and the peers are to be told.
@@ -149,6 +152,7 @@
             confirming: Cell::new(false),
             measuring: Cell::new(false),
             queued: Notify::new(),
+            starts: StartLimits::default(),
             crashes: RefCell::default(),
             crash_notices,
             crash_receiver: RefCell::new(Some(crash_receiver)),
--- a/crates/sidecar/src/peers/exchange.rs
+++ b/crates/sidecar/src/peers/exchange.rs
@@ -63,6 +63,19 @@
         Ok(reply)
     }
 
+    /// Tells a peer that an attempt that was sent to it must be sent to its target within `us`
+    /// microseconds or not at all. Waits for no reply.
+    pub fn limit_start(self: &Rc<Peers>, peer: &Rc<Peer>, id: String, us: u64) {
+        let (peers, peer) = (self.clone(), peer.clone());
+        tokio::task::spawn_local(async move {
+            let frame = Frame::StartWithin { id, us };
+            if let Err(error) = peers.request(&peer, &frame).await {
+                // Nodes of earlier versions do not know the frame.
+                tracing::debug!(%error, "peers: cannot limit the start of an attempt");
+            }
+        });
+    }
+
     /// Sends an attempt to a peer. An error means that nothing was sent.
     pub async fn send(
         self: &Rc<Peers>,
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -114,6 +114,10 @@
             peers.handle_crash_notices(notices);
             Reply::Noted
         }
+        Frame::StartWithin { id, us } => {
+            peers.guard.limit_start(&id, us);
+            Reply::Noted
+        }
         Frame::Hello(_) => return,
     };
     if let Err(error) = wire::write(&mut send, &reply).await {
@@ -125,7 +129,7 @@
 /// Runs an attempt for a peer until it ends or the peer cancels it.
 async fn run_attempt(
     peers: &Rc<Peers>,
-    attempt: Attempt,
+    mut attempt: Attempt,
     mut send: SendStream,
     mut receive: RecvStream,
 ) {
@@ -139,6 +143,8 @@
         }
     };
     tokio::pin!(stopped);
+    // The entry may limit the start while the body arrives.
+    let start = peers.guard.track_start(&mut attempt);
     let length = attempt.length.min(MAX_BODY_BYTES);
     let body = match receive.read_to_end(length as usize).await {
         Ok(body) if body.len() as u64 == attempt.length => body,
@@ -146,7 +152,7 @@
         _ => return drop(send.reset(VarInt::from_u32(CANCELLED))),
     };
     let id = attempt.id.clone();
-    let run = peers.guard.run(attempt, body.into());
+    let run = peers.guard.run(attempt, body.into(), start);
     tokio::pin!(run);
     let outcome = tokio::select! {
         outcome = &mut run => outcome,
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts the node, reloads its settings, and drains it.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -8,7 +9,7 @@
 use gumdrop::Options;
 use platform::settings::{self, FILE_VARIABLE, Settings};
 use platform::store::StoreClient;
-use policy::RetryBound;
+use policy::{RetryBound, Shutdown};
 use runtime::{Clock, wall_ms};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -26,12 +27,6 @@
 /// Time between the announcement to the peers that the guard will refuse requests and the first
 /// refusal.
 const DRAIN_NOTICE: Duration = Duration::from_millis(300);
-/// How long new connections are accepted after draining began: the platform sends callers here
-/// until it has missed the readiness check twice, a second apart.
-const KEEP_ACCEPTING: Duration = Duration::from_millis(2_500);
-/// Requests that still run when only this much of the grace period is left are cut, so that the
-/// process ends in time.
-const SHUTDOWN_RESERVE: Duration = Duration::from_millis(800);
 /// How often the settings file is checked for a change, since it may change without a signal.
 const SETTINGS_CHECK: Duration = Duration::from_secs(1);
 
@@ -104,6 +99,9 @@
 
 /// The parts of a running node that are needed to drain it.
 struct RunningNode {
+    clock: Clock,
+    /// The time from the signal to stop until the process is killed, in microseconds.
+    grace_us: Rc<Cell<u64>>,
     entry: Rc<Entry>,
     guard: Rc<Guard>,
     peers: Rc<Peers>,
@@ -126,12 +124,13 @@
     let (Ok(mut term), Ok(mut interrupt), Ok(hangup)) = signals else {
         return Code::CannotBind.exit();
     };
-    tokio::task::spawn_local(reload(node.entry.clone(), node.guard.clone(), file, hangup));
+    let (entry, guard) = (node.entry.clone(), node.guard.clone());
+    tokio::task::spawn_local(reload(entry, guard, node.grace_us.clone(), file, hangup));
     tokio::select! {
         _ = term.recv() => {}
         _ = interrupt.recv() => {}
     }
-    drain(&node, Duration::from_micros(settings.grace_us)).await;
+    drain(&node).await;
     0
 }
 
@@ -199,7 +198,8 @@
         version = env!("CARGO_PKG_VERSION"),
         "node: started"
     );
-    Ok(RunningNode { entry, guard, peers, callers })
+    let grace_us = Rc::new(Cell::new(settings.grace_us));
+    Ok(RunningNode { clock, grace_us, entry, guard, peers, callers })
 }
 
 fn retry_bound(settings: &Settings) -> RetryBound {
@@ -208,8 +208,14 @@
 }
 
 /// Reloads the settings at each hangup signal and whenever the file has changed. Only the limits on
-/// retries and on cold targets take effect; the rest needs a restart.
-async fn reload(entry: Rc<Entry>, guard: Rc<Guard>, file: PathBuf, mut hangup: Signal) {
+/// retries and on cold targets and the grace period take effect; the rest needs a restart.
+async fn reload(
+    entry: Rc<Entry>,
+    guard: Rc<Guard>,
+    grace_us: Rc<Cell<u64>>,
+    file: PathBuf,
+    mut hangup: Signal,
+) {
     let mut last_modified = modified(&file);
     loop {
         let asked = tokio::select! {
@@ -225,6 +231,7 @@
             Ok(settings) => {
                 entry.set_retry_bound(retry_bound(&settings));
                 guard.set_warmup_limits(settings.warmup);
+                grace_us.set(settings.grace_us);
                 tracing::info!(asked, "settings: reloaded");
             }
             Err(faults) => tracing::error!(?faults, "settings: the file is invalid and is ignored"),
@@ -237,18 +244,22 @@
     std::fs::metadata(file).and_then(|data| data.modified()).ok()
 }
 
-/// Refuses new requests step by step, waits for those that run, and returns within `grace`.
-async fn drain(node: &RunningNode, grace: Duration) {
-    let RunningNode { entry, guard, peers, callers } = node;
-    let begun = tokio::time::Instant::now();
-    tracing::info!(entry = entry.pending(), guard = guard.pending(), "node: draining");
-    entry.drain();
+/// Refuses new requests step by step, waits for those that run, and returns within the grace period.
+async fn drain(node: &RunningNode) {
+    let RunningNode { clock, grace_us, entry, guard, peers, callers } = node;
+    let shutdown = Shutdown::new(clock.now(), grace_us.get());
+    tracing::info!(
+        entry = entry.pending(),
+        guard = guard.pending(),
+        grace_us = grace_us.get(),
+        "node: draining"
+    );
+    entry.drain(shutdown);
     guard.announce_drain();
     peers.leave();
     tokio::time::sleep(DRAIN_NOTICE).await;
     guard.drain();
-    tokio::time::sleep_until(begun + KEEP_ACCEPTING).await;
-    let last = begun + grace.saturating_sub(SHUTDOWN_RESERVE);
+    tokio::time::sleep_until(clock.instant(shutdown.closes_at())).await;
     // If too few other nodes are ready, callers keep connecting for as long as they are accepted.
     callers.close();
     let idle = async {
@@ -258,6 +269,6 @@
             let _ = tokio::time::timeout(pause, entry.request_ended()).await;
         }
     };
-    let drained = tokio::time::timeout_at(last, idle).await.is_ok();
+    let drained = tokio::time::timeout_at(clock.instant(shutdown.cut_at()), idle).await.is_ok();
     tracing::info!(drained, entry = entry.pending(), guard = guard.pending(), "node: stopped");
 }
--- a/crates/sidecar/tests/drains.rs
+++ b/crates/sidecar/tests/drains.rs
@@ -191,3 +191,66 @@
     assert_eq!(cut, 0, "{cut} requests on accepted connections got no answer");
     assert!(deployment.vms[0].exits_within(GRACE).await);
 }
+
+// Guards against requests that wait in a queue and are cut without an answer when their node stops.
+#[tokio::test]
+async fn requests_that_wait_in_a_queue_are_refused_before_their_node_stops() {
+    struct Case {
+        /// How long the callers wait, in milliseconds.
+        timeout_ms: u64,
+        /// When the requests are sent after the signal to stop; before it if negative.
+        sent_ms: i64,
+    }
+    let cases = [
+        Case { timeout_ms: 9_000, sent_ms: -200 },
+        Case { timeout_ms: 9_000, sent_ms: 1_500 },
+        // A guard lets them wait for longer than the grace period.
+        Case { timeout_ms: 25_000, sent_ms: -200 },
+        Case { timeout_ms: 25_000, sent_ms: 1_500 },
+    ];
+    let vms = [("dc-1", "b"), ("dc-1", "a"), ("dc-1", "a"), ("dc-1", "b")];
+    let run_case = async |number: usize, case: &Case| {
+        let mut deployment = Deployment::prepare(NODE, &vms).await;
+        deployment.timeout_s = 30.0;
+        deployment.start_nodes().await;
+        let send = |at: usize, id: String, behaviour: &'static str, timeout_ms| {
+            let address = deployment.vms[at].caller_address();
+            tokio::spawn(async move {
+                let request = TestRequest {
+                    method: "POST",
+                    path: "/once/x",
+                    id: &id,
+                    timeout_ms,
+                    behaviour,
+                    body: "upload",
+                };
+                Caller::connect(address).await.ok()?.send_request(&request).await
+            })
+        };
+        // They hold every slot for longer than the grace period.
+        let _holders: Vec<_> =
+            (0..16).map(|at| send(3, format!("holder-{at}"), "work=20000", 30_000)).collect();
+        let is_full = eventually(Duration::from_secs(2), async || {
+            (0..16).all(|at| deployment.run_count(&format!("holder-{at}")) == 1)
+        });
+        assert!(is_full.await);
+        if case.sent_ms > 0 {
+            deployment.vms[0].terminate().await;
+        }
+        tokio::time::sleep(Duration::from_millis(case.sent_ms.max(0) as u64)).await;
+        let ids: Vec<String> = (0..6).map(|at| format!("waiting-{number}-{at}")).collect();
+        let waiting: Vec<_> =
+            ids.iter().map(|id| send(0, id.clone(), "work=20", case.timeout_ms)).collect();
+        if case.sent_ms < 0 {
+            tokio::time::sleep(Duration::from_millis(case.sent_ms.unsigned_abs())).await;
+            deployment.vms[0].terminate().await;
+        }
+        for (id, answer) in ids.iter().zip(waiting) {
+            let status = answer.await.unwrap().map(|answer| answer.status);
+            assert_eq!((status, deployment.run_count(id)), (Some(503), 0), "{id}");
+        }
+        assert!(deployment.vms[0].exits_within(GRACE).await);
+    };
+    let cases = cases.iter().enumerate().map(|(number, case)| run_case(number, case));
+    futures_util::future::join_all(cases).await;
+}
--- a/crates/wire/src/fields.rs
+++ b/crates/wire/src/fields.rs
@@ -27,6 +27,22 @@
 /// leaves. The guard may restart before it tells of that otherwise.
 const LEAVING_TARGET: &str = "bamboowheel-leaving";
 
+/// A field that an entry that stops adds to an attempt: the time within which the attempt may be sent
+/// to the target, in microseconds from the frame's arrival. Nodes of earlier versions take it for a
+/// header.
+const START_WITHIN: &str = "bamboowheel-start-within";
+
+/// Appends the time within which an attempt may be sent to the target, in microseconds.
+pub fn add_start_within(fields: &mut Vec<Field>, us: u64) {
+    fields.push(Field { name: START_WITHIN.to_owned(), value: us.to_string().into_bytes() });
+}
+
+/// Removes the time within which an attempt may be sent to the target, and returns it in
+/// microseconds. `None` if there is none or it is no number.
+pub fn take_start_within(fields: &mut Vec<Field>) -> Option<u64> {
+    take(fields, START_WITHIN)?.parse().ok()
+}
+
 /// Appends the incarnation of the target that leaves.
 pub fn add_leaving(fields: &mut Vec<Field>, life: &Life) {
     let value = format!("{} {}", life.born, life.id).into_bytes();
@@ -67,7 +83,7 @@
     for (name, value) in headers {
         let is_hop = HOP_BY_HOP.contains(name) || name.as_str() == "keep-alive";
         let is_listed = listed.iter().any(|other| other == name.as_str());
-        let is_ours = [KNOWN_LIMIT, LEAVING_TARGET].contains(&name.as_str());
+        let is_ours = [KNOWN_LIMIT, LEAVING_TARGET, START_WITHIN].contains(&name.as_str());
         if !is_hop && !is_listed && !is_ours && !without.contains(name) {
             let value = value.as_bytes().to_vec();
             fields.push(Field { name: name.as_str().to_owned(), value });
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,5 +13,8 @@
 pub mod tls;
 
 pub use codec::{Error, FRAME_LIMIT, VERSION, decode, encode, read, write};
-pub use fields::{add_fields, add_leaving, add_limit, end_to_end, take_leaving, take_limit};
+pub use fields::{
+    add_fields, add_leaving, add_limit, add_start_within, end_to_end, take_leaving, take_limit,
+    take_start_within,
+};
 pub use message::{Call, Field, Open, Reply, Suspect, Verdict};
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -122,6 +122,14 @@
     Release,
     /// Tells of requests that crash their targets. Answered by [`Reply::Noted`].
     Crashes(Vec<CrashNotice>),
+    /// Says that an attempt that the sender sent before must be sent to the target within a time or
+    /// not at all, because the sender stops. Answered by [`Reply::Noted`].
+    StartWithin {
+        /// The id of the attempt's request.
+        id: String,
+        /// The time from the frame's arrival, in microseconds.
+        us: u64,
+    },
 }
 
 /// A message that is sent as a datagram and not answered.
