--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -161,14 +161,18 @@
         };
         let until = self.clock.instant(deadline);
         let begun = self.clock.now();
+        let known_crashes = self.crashes_of(print);
         let exchange = self.exchange(attempt, body, &target, deadline, start);
         match tokio::time::timeout_at(until, exchange).await {
             Err(_) => Outcome::Lost { detail: "the deadline passed".to_owned() },
             Ok(Ok(mut answer)) => {
                 answer.took_us = self.clock.now().since(begun);
                 slot.took_us = Some(answer.took_us);
-                self.clear(print);
-                self.classify(answer)
+                let outcome = self.classify(answer);
+                if matches!(outcome, Outcome::Answer(_)) {
+                    self.clear(known_crashes);
+                }
+                outcome
             }
             Ok(Err(Failure::Late)) => not_run(Refusal::Late),
             Ok(Err(Failure::Unsent(detail))) => {
--- a/crates/sidecar/src/guard/crashes.rs
+++ b/crates/sidecar/src/guard/crashes.rs
@@ -28,10 +28,15 @@
         self.crashes.borrow().is_quarantined(self.clock.now(), print)
     }
 
-    /// Records that a request was answered.
-    pub(super) fn clear(&self, print: Fingerprint) {
-        if self.crashes.borrow().is_suspect(print) {
-            self.found(CrashNotice::Cleared(print));
+    /// Returns the crashes that a request may have caused, as far as this node knows.
+    pub(super) fn crashes_of(&self, print: Fingerprint) -> Vec<CrashReport> {
+        self.crashes.borrow().reports_of(print)
+    }
+
+    /// Records that a request ran to its end, for which `known` was returned before it was sent.
+    pub(super) fn clear(&self, known: Vec<CrashReport>) {
+        if !known.is_empty() {
+            self.found(CrashNotice::Answered(known));
         }
     }
 
--- a/crates/sidecar/tests/crashes.rs
+++ b/crates/sidecar/tests/crashes.rs
@@ -50,3 +50,47 @@
     let answer = deployment.send_request(3, &request).await.unwrap();
     assert_eq!((answer.status, deployment.run_count("last")), (503, 0), "{answer:?}");
 }
+
+// Guards against refusals of a target, which did not run the request, that clear its crashes.
+#[tokio::test]
+async fn a_request_that_crashes_targets_is_not_cleared_by_their_refusals() {
+    let vms = [("dc-1", "a"), ("dc-1", "a"), ("dc-1", "b")];
+    let mut deployment = Deployment::prepare(NODE, &vms).await;
+    deployment.start_nodes().await;
+    let mut ran = 0;
+    for round in 0..6 {
+        let crash = format!("crash-{round}");
+        // Both targets refuse it: they shed it, and then they are other instances.
+        let refused = async |id: &str, behaviour| {
+            let path = "/once/crash";
+            let request =
+                TestRequest { id, path, behaviour, timeout_ms: 500, ..Default::default() };
+            deployment.send_request(2, &request).await;
+            assert_eq!(deployment.run_count(id), 0);
+        };
+        refused(&format!("shed-{round}"), "shed").await;
+        deployment.vms[..2].iter().for_each(|vm| vm.target.set_id("i-other"));
+        refused(&format!("other-{round}"), "-").await;
+        deployment.vms[..2].iter().for_each(|vm| vm.target.set_id(&vm.instance_id()));
+        // Both targets are confirmed again.
+        let path = "/once/other";
+        for at in 0..2 {
+            let served = eventually(Duration::from_secs(3), async || {
+                let request = TestRequest { id: "other", path, ..TestRequest::default() };
+                let answer = deployment.send_request(at, &request).await;
+                answer.is_some_and(|answer| answer.status == 200)
+            });
+            assert!(served.await, "round {round}");
+        }
+        let request = TestRequest {
+            id: &crash,
+            path: "/once/crash",
+            behaviour: "crash",
+            ..Default::default()
+        };
+        deployment.send_request(2, &request).await;
+        ran += deployment.run_count(&crash);
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+    assert_eq!(ran, 3, "it ran {ran} times of 6");
+}
