--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -7,7 +7,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{Knee, NamedRate, Occupancy, RateWindow, Time};
+use crate::{Knee, NamedRate, Occupancy, Time, Warmth};
 
 /// A reported slowness is used for this long, in microseconds: neighbours keep a VM busy for about
 /// a tenth of a second at a time.
@@ -144,14 +144,6 @@
     cold: bool,
 }
 
-/// The limit on what a cold target is sent.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Warmup {
-    until: Time,
-    /// Limit of requests in any second.
-    most: u32,
-}
-
 /// Admission control in front of one target: its slots, its warm-up and the slowness of its VM.
 #[derive(Clone, Debug)]
 pub struct Admission {
@@ -162,8 +154,8 @@
     knee: Knee,
     /// In order of arrival.
     waiting: Vec<Waiting>,
-    warmup: Option<Warmup>,
-    sent: RateWindow,
+    /// The limits of a cold target.
+    warmth: Warmth,
     /// The limit that the target names.
     named: NamedRate,
     slowness: f64,
@@ -194,8 +186,7 @@
             running: Vec::new(),
             knee: Knee::default(),
             waiting: Vec::new(),
-            warmup: None,
-            sent: RateWindow::default(),
+            warmth: Warmth::default(),
             named: NamedRate::default(),
             slowness: 1.0,
             slowness_at: Time::default(),
@@ -217,10 +208,20 @@
         self.slots = slots;
     }
 
-    /// Marks the target as cold until `until`; until then it is sent at most `most` requests in any
-    /// second.
-    pub fn set_warmup(&mut self, until: Time, most: u32) {
-        self.warmup = Some(Warmup { until, most });
+    /// Returns what is known of the target's warmth, to record what it says.
+    pub fn warmth_mut(&mut self) -> &mut Warmth {
+        &mut self.warmth
+    }
+
+    /// Records that a health check is sent, which uses up what a limited target takes.
+    pub fn check_sent(&mut self, now: Time) {
+        self.warmth.sent(now);
+        self.named.sent(now);
+    }
+
+    /// Returns whether a health check is due because the target may have become cold.
+    pub fn needs_warmth_check(&mut self, now: Time) -> bool {
+        self.warmth.needs_check(now)
     }
 
     /// Returns the limit that the target names.
@@ -310,7 +311,8 @@
     /// Returns what the target lacks to run another request: the refusal of its rate limits, or
     /// `otherwise`.
     fn lacks(&mut self, now: Time, otherwise: Refusal) -> Refusal {
-        match (self.is_cold(now), self.named.room(now)) {
+        let is_cold = self.is_cold(now) || self.warmth.room(now) == Some(0);
+        match (is_cold, self.named.room(now)) {
             (true, _) => Refusal::Cold,
             (false, Some(0)) => Refusal::Limited,
             (false, _) => otherwise,
@@ -418,8 +420,8 @@
         if self.named.room(now) == Some(0) {
             earliest = earliest.min(self.named.next_room(now));
         }
-        if self.is_cold(now) {
-            earliest = earliest.min(self.sent.next_room(now).max(now.after(1_000)));
+        if self.is_cold(now) || self.warmth.room(now) == Some(0) {
+            earliest = earliest.min(self.warmth.next_room(now).max(now.after(1_000)));
         }
         earliest
     }
@@ -430,10 +432,7 @@
             return -(self.waiting.len() as i32);
         }
         let slots = self.limit(now).saturating_sub(self.running());
-        let room = match self.warmup.filter(|warmup| warmup.until > now) {
-            Some(warmup) => slots.min(self.sent.room(now, warmup.most)),
-            None => slots,
-        };
+        let room = slots.min(self.warmth.room(now).unwrap_or(u32::MAX));
         let room = room.min(self.named.room(now).unwrap_or(u32::MAX));
         room as i32
     }
@@ -474,7 +473,7 @@
 
     /// Returns whether the target is still warming up, so that its request rate is limited.
     pub fn is_cold(&self, now: Time) -> bool {
-        self.warmup.is_some_and(|warmup| warmup.until > now)
+        self.warmth.is_cold(now)
     }
 
     /// Returns how long the oldest waiting request has waited, in microseconds; 0 if none waits.
@@ -493,15 +492,12 @@
         let expected_us = work_us as f64 * self.slowness(now) * cold_ratio;
         let overdue = now.after((expected_us * OVERDUE_FACTOR).max(MIN_OVERDUE_US) as u64);
         self.running.push(Running { id, work_us, begun: now, overdue, occupancy, cold });
-        self.sent.sent(now);
+        self.warmth.sent(now);
         self.named.sent(now);
     }
 
     fn has_room(&mut self, now: Time) -> bool {
-        let rate_allows = match self.warmup.filter(|warmup| warmup.until > now) {
-            Some(warmup) => self.sent.room(now, warmup.most) > 0,
-            None => true,
-        };
+        let rate_allows = self.warmth.room(now) != Some(0);
         let limit_allows = self.named.room(now) != Some(0);
         rate_allows && limit_allows && self.running() < self.limit(now)
     }
@@ -553,10 +549,7 @@
         let slots = f64::from(self.knee.usable_slots(self.slots).max(1));
         let cold_ratio = if self.is_cold(now) { self.cold_ratio } else { 1.0 };
         let by_slots = self.work_us * cold_ratio * position / slots;
-        let by_slots = by_slots.max(self.named.duration_us(position));
-        match self.warmup.filter(|warmup| warmup.until > now) {
-            None => by_slots as u64,
-            Some(warmup) => by_slots.max(1e6 * position / f64::from(warmup.most.max(1))) as u64,
-        }
+        let by_rate = self.named.duration_us(position).max(self.warmth.wait_us(now, position));
+        by_slots.max(by_rate) as u64
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 mod suspects;
 mod time;
 mod versions;
+mod warmth;
 mod watch;
 
 pub use admission::{Admission, Decision, Refusal, SlotRequest};
@@ -63,4 +64,5 @@
 pub use suspects::{Fingerprint, Permit, Quarantine, SuspectRequest};
 pub use time::Time;
 pub use versions::ActiveConfig;
+pub use warmth::Warmth;
 pub use watch::{BEACON_INTERVAL_US, PassOn, VALID_US, Watcher, Watchers, ruleset_wait_us};
--- a/crates/policy/src/rate.rs
+++ b/crates/policy/src/rate.rs
@@ -29,9 +29,23 @@
         self.sent.push_back(now);
     }
 
+    /// Returns how many requests in the window were sent at `since` or later.
+    pub fn count_since(&mut self, now: Time, since: Time) -> u32 {
+        self.expire(now);
+        let before = self.sent.partition_point(|sent| *sent < since);
+        (self.sent.len() - before) as u32
+    }
+
     /// Returns when the oldest request leaves the window; `now` if there is none.
     pub fn next_room(&self, now: Time) -> Time {
-        self.sent.front().map_or(now, |oldest| oldest.after(WINDOW_US))
+        self.next_room_since(now, Time::default())
+    }
+
+    /// Returns when the oldest request that was sent at `since` or later leaves the window; `now` if
+    /// there is none.
+    pub fn next_room_since(&self, now: Time, since: Time) -> Time {
+        let oldest = self.sent.partition_point(|sent| *sent < since);
+        self.sent.get(oldest).map_or(now, |oldest| oldest.after(WINDOW_US))
     }
 
     fn expire(&mut self, now: Time) {
--- a/crates/policy/tests/named_rate.rs
+++ b/crates/policy/tests/named_rate.rs
@@ -144,7 +144,8 @@
     let cases = [Case { limit: 4.0, cold: 20, sent: 5 }, Case { limit: 100.0, cold: 6, sent: 6 }];
     for Case { limit, cold, sent } in cases {
         let mut admission = limited(limit);
-        admission.set_warmup(at(10_000), cold);
+        admission.warmth_mut().set_limit(cold, false);
+        admission.warmth_mut().said_cold(at(0), at(10_000));
         let mut runs = 0;
         for ms in 0..1_000 {
             let decision = admission.admit(at(ms), request(ms, 1, true));
--- a/crates/sidecar/src/guard/heartbeats.rs
+++ b/crates/sidecar/src/guard/heartbeats.rs
@@ -25,7 +25,6 @@
     /// leaves. A stale heartbeat is ignored. Returns false if it names a service that the ruleset
     /// does not have or a start that is no time, so that it is not from a target that can be used.
     pub fn heartbeat(self: &Rc<Guard>, heartbeat: Heartbeat) -> bool {
-        let now = self.clock.now();
         if !self.is_known_service(&heartbeat.service) {
             tracing::warn!(
                 id = &*heartbeat.id,
@@ -64,7 +63,7 @@
                 cold_us = heartbeat.cold_us,
                 "target: new incarnation"
             );
-            state.admission.set_warmup(now, 0);
+            state.admission.warmth_mut().reset();
             state.admission.reset_named();
             state.target_refusal = None;
             self.pool.clear();
@@ -75,10 +74,6 @@
             address: heartbeat.address,
         });
         state.admission.set_slots(heartbeat.slots);
-        if heartbeat.cold_us > 0 {
-            let limit = self.cold_limit(&heartbeat.service);
-            state.admission.set_warmup(now.after(heartbeat.cold_us), limit);
-        }
         if heartbeat.leaving && !state.incarnations.is_gone(&life) {
             tracing::info!(id = &*life.id, sequence = heartbeat.sequence, "target: leaving");
             state.incarnations.mark_gone(life.clone());
@@ -93,6 +88,12 @@
         let changed =
             before != (Some(heartbeat.address), state.target_refusal) || kind == HeartbeatKind::New;
         drop(state);
+        self.update_cold_limit();
+        // It says nothing of the moment at which it was sent: it may prove that the target is cold,
+        // and not that it is warm.
+        if heartbeat.cold_us > 0 {
+            self.note_cold(&life, heartbeat.cold_us, "heartbeat");
+        }
         if changed {
             self.update_queue();
             self.notify_peers();
@@ -108,25 +109,17 @@
         service: Name,
         address: SocketAddr,
         slots: u32,
-        cold_us: u64,
     ) {
         let mut state = self.state.borrow_mut();
         if state.target.is_some() {
             return;
         }
         let Some(life) = state.incarnations.adopt(id) else { return };
-        tracing::info!(
-            id = &**id,
-            service = &*service,
-            slots,
-            cold_us,
-            "target: found by a health check"
-        );
+        tracing::info!(id = &**id, service = &*service, slots, "target: found by a health check");
         state.admission.set_slots(slots);
-        let limit = self.cold_limit(&service);
-        state.admission.set_warmup(self.clock.now().after(cold_us), limit);
         state.target = Some(Target { life, service, address });
         drop(state);
+        self.update_cold_limit();
         self.update_queue();
         self.notify_peers();
     }
--- a/crates/sidecar/src/guard/probe.rs
+++ b/crates/sidecar/src/guard/probe.rs
@@ -1,7 +1,8 @@
 //! Health checks of the target.
 //!
-//! Each health check has a price. One is sent only if the target may have restarted or become cold,
-//! or if long work is about to start and the VM's slowness was not reported recently.
+//! Each health check has a price. One is sent only if the target may have restarted, if so much was
+//! sent since the last one that the target could be cold, or if long work is about to start and the
+//! VM's slowness was not reported recently.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,9 +32,8 @@
 
 /// The result of a probe.
 enum ProbeResult {
-    /// The expected instance answered, or something accepted the connection and did not answer. The
-    /// target stays cold for so many microseconds.
-    Present(u64),
+    /// The expected instance answered, or something accepted the connection and did not answer.
+    Present,
     /// There was no connection, or another instance answered. Holds which of them, for the log.
     Absent(String),
 }
@@ -48,7 +48,7 @@
     tokio::task::spawn_local(async move {
         while let Some(target) = guard.suspected_target() {
             match probe(&guard, &target).await {
-                ProbeResult::Present(cold_us) => guard.confirm(&target.life, cold_us),
+                ProbeResult::Present => guard.confirm(&target.life),
                 ProbeResult::Absent(detail) => {
                     tracing::info!(detail, "target: the probe did not find the target");
                     tokio::time::sleep(RETRY_PAUSE).await;
@@ -59,21 +59,20 @@
     });
 }
 
-/// Measures how slow the target's VM is, and then starts the requests that waited for this. Does
-/// nothing while this is under way already.
-pub fn measure_slowness(guard: &Rc<Guard>) {
-    if guard.measuring.replace(true) {
+/// Learns how slow the target's VM is and whether the target is warm, and then starts the requests
+/// that waited for this. Does nothing while this is under way already.
+pub fn check_target(guard: &Rc<Guard>) {
+    if guard.checking.replace(true) {
         return;
     }
     let guard = guard.clone();
     tokio::task::spawn_local(async move {
-        let load = match tokio::time::timeout(SLOWNESS_TIMEOUT, check_pooled(&guard)).await {
+        let check = check_pooled(&guard);
+        tokio::pin!(check);
+        let in_time = tokio::time::timeout(SLOWNESS_TIMEOUT, &mut check).await;
+        let load = match &in_time {
             Ok(Ok(head)) => headers::target_load(&head.headers),
-            Ok(Err(error)) => {
-                tracing::debug!(%error, "target: cannot measure how slow the VM is");
-                None
-            }
-            Err(_) => None,
+            Ok(Err(_)) | Err(_) => None,
         };
         let now = guard.clock.now();
         {
@@ -83,7 +82,23 @@
                 None => admission.set_slowness_unknown(now),
             }
         }
-        guard.measuring.set(false);
+        guard.start_waiting();
+        // Requests do not wait for the slowness any more, but a late answer still tells the warmth.
+        let answer = match in_time {
+            Ok(answer) => Ok(answer),
+            Err(_) => tokio::time::timeout(PROBE_TIMEOUT, check).await,
+        };
+        match answer {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => {
+                tracing::debug!(%error, "target: a health check failed");
+                guard.state.borrow_mut().admission.warmth_mut().said_nothing(guard.clock.now());
+            }
+            Err(_) => {
+                guard.state.borrow_mut().admission.warmth_mut().said_nothing(guard.clock.now());
+            }
+        }
+        guard.checking.set(false);
         guard.start_waiting();
     });
 }
@@ -121,11 +136,11 @@
 }
 
 impl Guard {
-    /// Counts a health check, which uses up what a limited target takes. Returns the time.
+    /// Counts a health check, which uses up what a cold or limited target takes. Returns the time.
     fn count_probe(&self) -> Time {
         let now = self.clock.now();
         self.metrics.probes.inc();
-        self.state.borrow_mut().admission.named_mut().sent(now);
+        self.state.borrow_mut().admission.check_sent(now);
         now
     }
 
@@ -144,16 +159,16 @@
     // The path of the health check is in the ruleset. An error means that the node shuts down.
     let _ = rules.wait_for(|revision| *revision > 0).await;
     while guard.service().is_none() {
+        let sent = guard.clock.now();
         if let Ok(Some(head)) = check_new(&guard, address, &service).await
             && head.status == StatusCode::OK
             && let Some(id) = headers::answering_instance(&head.headers)
             && let Some(load) = headers::target_load(&head.headers)
         {
-            let cold_us = headers::cold_us(&head.headers);
-            guard.adopt(&id, service, address, load.slots, cold_us);
+            guard.adopt(&id, service, address, load.slots);
             let target = guard.state.borrow().target.clone();
             if let Some(target) = target.filter(|target| target.life.id == id) {
-                guard.note_health(&target, guard.clock.now(), &head.headers);
+                guard.note_health(&target, sent, &head.headers);
             }
             return;
         }
@@ -167,13 +182,13 @@
     match check_new(guard, target.address, &target.service).await {
         Ok(Some(head)) => {
             let result = check_instance(target, &head.headers);
-            if matches!(result, ProbeResult::Present(_)) {
+            if matches!(result, ProbeResult::Present) {
                 guard.note_health(target, sent, &head.headers);
             }
             result
         }
         // Health checks may fail while the target serves. Requests will show whether it does.
-        Ok(None) => ProbeResult::Present(0),
+        Ok(None) => ProbeResult::Present,
         Err(error) => ProbeResult::Absent(error.to_string()),
     }
 }
@@ -210,6 +225,6 @@
 fn check_instance(target: &Target, answered: &HeaderMap) -> ProbeResult {
     match headers::answering_instance(answered) {
         Some(id) if id != target.life.id => ProbeResult::Absent(format!("instance {id} answers")),
-        _ => ProbeResult::Present(headers::cold_us(answered)),
+        _ => ProbeResult::Present,
     }
 }
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -107,8 +107,8 @@
     draining: Cell<bool>,
     /// Whether a suspected target is being probed.
     pub(super) confirming: Cell<bool>,
-    /// Whether a health check that measures the VM's slowness is under way.
-    pub(super) measuring: Cell<bool>,
+    /// Whether a health check on a pooled connection is under way.
+    pub(super) checking: Cell<bool>,
     /// Notified when a request begins to wait, since that may change what is due next.
     queued: Notify,
     /// Until when attempts may be sent to the target.
@@ -150,7 +150,7 @@
             was_out: Cell::new(false),
             draining: Cell::new(false),
             confirming: Cell::new(false),
-            measuring: Cell::new(false),
+            checking: Cell::new(false),
             queued: Notify::new(),
             starts: StartLimits::default(),
             crashes: RefCell::default(),
@@ -207,7 +207,10 @@
 
     /// Returns why the guard refuses every request, or `None` if it accepts requests.
     pub fn refusal(&self) -> Option<Refusal> {
-        let state = self.state.borrow();
+        self.refusal_in(&self.state.borrow())
+    }
+
+    fn refusal_in(&self, state: &State) -> Option<Refusal> {
         match &state.target {
             _ if self.draining.get() => Some(Refusal::Draining),
             None => Some(Refusal::NoTarget),
@@ -247,10 +250,23 @@
         self.notify_peers();
     }
 
-    /// Replaces the limits of what a cold target is sent. They apply when the target is next
-    /// reported to be cold.
+    /// Replaces the limits of what a cold target is sent.
     pub fn set_warmup_limits(&self, limits: WarmupLimits) {
         self.warmup_limits.set(limits);
+        self.update_cold_limit();
+    }
+
+    /// Updates the limit of a cold target after the ruleset, the settings or the target changed.
+    pub(super) fn update_cold_limit(&self) {
+        let Some(service) = self.service() else { return };
+        let rules = self.rules.current();
+        let rate = rules.and_then(|rules| Some(rules.routing.service(&service)?.cold_rate));
+        let rate = rate.unwrap_or_default();
+        let WarmupLimits { factor, slack } = self.warmup_limits.get();
+        let excess = rate * (factor - 1.0) + slack;
+        let limit = (rate + excess * WARMUP_EXCESS_SHARE) as u32;
+        // Targets of a service without a rate do not become cold.
+        self.state.borrow_mut().admission.warmth_mut().set_limit(limit, rate > 0.0);
     }
 
     /// Refuses the waiting requests if the guard refuses requests. Starts those that can run
@@ -264,6 +280,7 @@
 
     /// Handles a new ruleset, which may take the data centre out of service or put it back.
     pub fn ruleset_changed(self: &Rc<Guard>) {
+        self.update_cold_limit();
         let out = self.is_out();
         let was_out = self.was_out.replace(out);
         if was_out == out {
@@ -292,9 +309,9 @@
         probe::confirm_target(self);
     }
 
-    /// Accepts requests again after a probe found the suspected target, which stays cold for
-    /// `cold_us` microseconds. Ignored if the target has changed or is not suspected any more.
-    pub(super) fn confirm(self: &Rc<Guard>, life: &Life, cold_us: u64) {
+    /// Accepts requests again after a probe found the suspected target. Ignored if the target has
+    /// changed or is not suspected any more.
+    pub(super) fn confirm(self: &Rc<Guard>, life: &Life) {
         let mut state = self.state.borrow_mut();
         if state.incarnations.current() != Some(life)
             || state.target_refusal != Some(Refusal::NoTarget)
@@ -302,14 +319,9 @@
             return;
         }
         state.target_refusal = None;
-        if cold_us > 0
-            && let Some(service) = state.target.as_ref().map(|target| target.service.clone())
-        {
-            let until = self.clock.now().after(cold_us);
-            state.admission.set_warmup(until, self.cold_limit(&service));
-        }
+        let is_cold = state.admission.is_cold(self.clock.now());
         drop(state);
-        tracing::info!(cold_us, "target: confirmed by a probe");
+        tracing::info!(is_cold, "target: confirmed by a probe");
         self.update_queue();
         self.notify_peers();
     }
@@ -354,28 +366,35 @@
                 let (waiter, decision) = oneshot::channel();
                 state.waiters.push((id, waiter));
                 slot.decision = Some(decision);
-                if state.admission.needs_probe(now) {
-                    probe::measure_slowness(self);
-                }
             }
             Decision::Refuse(refusal) => {
+                self.check_if_due(now, &mut state);
                 // Dropping the slot borrows the state again.
                 drop(state);
                 return Err(refusal);
             }
         }
+        self.check_if_due(now, &mut state);
+        drop(state);
         Ok(slot)
     }
 
+    /// Sends a health check if the VM's slowness or the target's warmth must be known.
+    fn check_if_due(self: &Rc<Guard>, now: Time, state: &mut State) {
+        if self.refusal_in(state).is_none()
+            && (state.admission.needs_probe(now) || state.admission.needs_warmth_check(now))
+        {
+            probe::check_target(self);
+        }
+    }
+
     /// Starts the waiting requests that can run, and refuses those whose time to wait is over.
     pub(super) fn start_waiting(self: &Rc<Guard>) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let decided = state.admission.poll(now);
         state.send_decisions(decided);
-        if state.admission.needs_probe(now) {
-            probe::measure_slowness(self);
-        }
+        self.check_if_due(now, &mut state);
     }
 
     /// Updates the queue whenever a wait ends or a cold target may be sent more, for as long as the
@@ -396,16 +415,6 @@
         }
     }
 
-    /// Returns the most requests that a cold target of a service is sent in any second.
-    pub(super) fn cold_limit(&self, service: &str) -> u32 {
-        let rules = self.rules.current();
-        let rate = rules.and_then(|rules| Some(rules.routing.service(service)?.cold_rate));
-        let rate = rate.unwrap_or_default();
-        let WarmupLimits { factor, slack } = self.warmup_limits.get();
-        let excess = rate * (factor - 1.0) + slack;
-        (rate + excess * WARMUP_EXCESS_SHARE) as u32
-    }
-
     /// Refuses every waiting request.
     fn refuse_waiting(&self, refusal: Refusal) {
         let mut state = self.state.borrow_mut();
--- a/crates/sidecar/src/guard/statements.rs
+++ b/crates/sidecar/src/guard/statements.rs
@@ -1,5 +1,5 @@
-//! What the target says of itself in its answers: the rate of requests that it takes, and that it
-//! leaves.
+//! What the target says of itself: the rate of requests that it takes, that it leaves, and whether it
+//! is cold.
 
 use std::rc::Rc;
 
@@ -37,6 +37,36 @@
         if let NamedLimit::PerSecond(per_s) = headers::named_limit(answer) {
             self.note_limit(target, sent, Some(per_s));
         }
+        // An answer without an id may be another instance's.
+        let is_target = headers::answering_instance(answer).is_some_and(|id| id == target.life.id);
+        match headers::cold_us(answer) {
+            0 if is_target => self.note_warm(&target.life, sent),
+            0 => {}
+            cold_us => self.note_cold(&target.life, cold_us, "health check"),
+        }
+    }
+
+    /// Handles a statement that an incarnation stays cold for `cold_us` microseconds.
+    pub(super) fn note_cold(&self, life: &Life, cold_us: u64, source: &str) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        if state.incarnations.current() != Some(life) {
+            return;
+        }
+        let warmth = state.admission.warmth_mut();
+        if !warmth.is_cold(now) {
+            let (unproven, proof_us) = warmth.unproven(now);
+            tracing::info!(id = &*life.id, cold_us, source, unproven, proof_us, "target: cold");
+        }
+        warmth.said_cold(now, now.after(cold_us));
+    }
+
+    /// Handles the answer of an incarnation to a health check that was sent at `sent`: it is warm.
+    fn note_warm(&self, life: &Life, sent: Time) {
+        let mut state = self.state.borrow_mut();
+        if state.incarnations.current() == Some(life) {
+            state.admission.warmth_mut().said_warm(sent);
+        }
     }
 
     /// Sends nothing more to a target that leaves. Has no effect if another one has taken its place.
