A node that stops closes its links and delivers its last outcomes

What callers saw: the caller of a request that ran at the target beside a stopped node waited 2.6 s for its 502 after that node had ended.

Cause: the process ended without closing its links, so that peers waited for the idle time. It could also end up to 20 ms after its last answer to a peer, since the guard counts a request only until its target has answered.

Evidence: what_runs_at_a_node_when_it_ends_is_given_up_at_once failed on (2.597 s, 0.2 s allowed). The unsent answer comes from reading the code; no run showed it.

Change: an attempt of a peer is pending until the peer has acknowledged its outcome, and at the end the links are closed, with 0.2 s for peers to learn of it.

--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -28,6 +28,8 @@
     Timing { idle: Duration::from_millis(2_500), keep_alive: Duration::from_millis(1_100) };
 /// The longest wait for a handshake and the peer's hello.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a node that stops waits for its peers to learn that their links are closed.
+const CLOSE_WAIT: Duration = Duration::from_millis(200);
 /// The pause after a failed connection attempt. It doubles with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long the higher of two nodes waits for the lower one to open their link when the whole
@@ -78,6 +80,8 @@
     pub(super) membership: Membership,
     /// The services that requests used, and when, sorted by name.
     pub(super) used_services: RefCell<Vec<(Name, Time)>>,
+    /// Attempts of peers that are being handled here; see [`Peers::track_serving`].
+    serving: Cell<usize>,
     /// Whether a ruleset is being fetched from a peer.
     fetching: Cell<bool>,
     /// When a node without a ruleset reads the operator's table itself; set when it has joined.
@@ -118,6 +122,7 @@
             metrics,
             own_view: RefCell::default(),
             used_services: RefCell::default(),
+            serving: Cell::new(0),
             fetching: Cell::new(false),
             read_after: Cell::new(Time::NEVER),
             tries_watch: Cell::new(false),
@@ -136,6 +141,27 @@
         &self.local_node
     }
 
+    /// Counts an attempt of a peer as being handled until the returned value is dropped, which is when
+    /// the peer has its outcome.
+    pub(super) fn track_serving(self: &Rc<Peers>) -> ServedAttempt {
+        self.serving.set(self.serving.get() + 1);
+        ServedAttempt { peers: self.clone() }
+    }
+
+    /// Returns the number of attempts of peers that are being handled.
+    pub fn serving(&self) -> usize {
+        self.serving.get()
+    }
+
+    /// Closes every link, so that peers notice at once that this node ends. Waits for at most
+    /// [`CLOSE_WAIT`].
+    pub async fn close(&self) {
+        self.endpoint.close(0u32.into(), b"stopped");
+        if tokio::time::timeout(CLOSE_WAIT, self.endpoint.wait_idle()).await.is_err() {
+            tracing::debug!("peers: some links were not closed in time");
+        }
+    }
+
     /// Calls a function with each node that is or was linked, sorted by name.
     pub fn for_each(&self, visit: impl FnMut(&Rc<Peer>)) {
         self.directory.for_each(visit);
@@ -348,3 +374,15 @@
         self.clock.now()
     }
 }
+
+/// Counts one attempt in [`Peers::serving`] until it is dropped.
+#[derive(Debug)]
+pub(super) struct ServedAttempt {
+    peers: Rc<Peers>,
+}
+
+impl Drop for ServedAttempt {
+    fn drop(&mut self) {
+        self.peers.serving.set(self.peers.serving.get() - 1);
+    }
+}
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -133,6 +133,7 @@
     mut send: SendStream,
     mut receive: RecvStream,
 ) {
+    let _serving = peers.track_serving();
     let stopped = {
         let stopped = send.stopped();
         async move {
@@ -163,7 +164,11 @@
     };
     if let Err(error) = send_outcome(peers, outcome, &mut send).await {
         tracing::info!(request = id, error, "guard: cannot send an outcome to its entry");
+        return;
     }
+    // The node may stop once the entry has acknowledged the outcome. An error means that the link was
+    // closed.
+    let _ = send.stopped().await;
 }
 
 /// Sends an outcome with the guard's current report, then the body of an answer.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -264,11 +264,12 @@
     callers.close();
     let idle = async {
         callers.wait_closed().await;
-        while entry.pending() > 0 || guard.pending() > 0 {
+        while entry.pending() > 0 || guard.pending() > 0 || peers.serving() > 0 {
             let pause = Duration::from_millis(20);
             let _ = tokio::time::timeout(pause, entry.request_ended()).await;
         }
     };
     let drained = tokio::time::timeout_at(clock.instant(shutdown.cut_at()), idle).await.is_ok();
     tracing::info!(drained, entry = entry.pending(), guard = guard.pending(), "node: stopped");
+    peers.close().await;
 }
--- a/crates/sidecar/tests/drains.rs
+++ b/crates/sidecar/tests/drains.rs
@@ -347,3 +347,30 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
     assert!(deployment.vms[0].exits_within(GRACE.saturating_sub(begun.elapsed())).await);
 }
+
+// Guards against callers of other nodes that wait for a node that has ended.
+#[tokio::test]
+async fn what_runs_at_a_node_when_it_ends_is_given_up_at_once() {
+    let mut deployment = Deployment::prepare(NODE, &[("dc-1", "b"), ("dc-1", "a")]).await;
+    deployment.timeout_s = 30.0;
+    deployment.start_nodes().await;
+    let mut caller = Caller::connect(deployment.vms[0].caller_address()).await.unwrap();
+    let request = TestRequest {
+        path: "/once/x",
+        id: "cut",
+        timeout_ms: 9_500,
+        behaviour: "work=20000",
+        ..TestRequest::default()
+    };
+    caller.send(&request.bytes()).await.unwrap();
+    let is_running =
+        eventually(Duration::from_secs(1), async || deployment.run_count("cut") == 1).await;
+    assert!(is_running);
+    deployment.vms[1].terminate().await;
+    assert!(deployment.vms[1].exits_within(GRACE).await);
+    let ended = Instant::now();
+    let answer = caller.receive().await.unwrap();
+    assert_eq!(answer.status, 502, "{answer:?}");
+    let waited = ended.elapsed();
+    assert!(waited < Duration::from_millis(200), "the caller waited for {waited:?}");
+}
