--- a/crates/policy/src/warmth.rs
+++ b/crates/policy/src/warmth.rs
@@ -9,7 +9,7 @@
 
 /// A health check is due once this share of the limit was sent without a proof.
 const UNPROVEN_SHARE: f64 = 0.5;
-/// The pause after a health check that proved nothing, in microseconds.
+/// The pause after a health check that did not prove that the target is warm, in microseconds.
 const RETRY_US: u64 = 250_000;
 /// What of the limit is kept for a health check, unless that is all.
 const CHECK_ROOM: u32 = 1;
@@ -54,6 +54,7 @@
     pub fn said_cold(&mut self, now: Time, until: Time) {
         self.cold_until = self.cold_until.max(until);
         self.cold_at = now;
+        self.next_check = now.after(RETRY_US);
     }
 
     /// Handles the answer to a health check that was sent at `checked`: the target is warm. This
--- a/crates/policy/tests/warmth.rs
+++ b/crates/policy/tests/warmth.rs
@@ -44,6 +44,17 @@
     assert_eq!((warmth.room(at(260)), warmth.next_room(at(260))), (Some(0), at(1_052)));
 }
 
+// Guards against health checks that use up what a target may get, when it says again and again that it
+// is cold for a moment only.
+#[test]
+fn a_target_that_is_cold_for_moments_is_not_asked_at_once_again() {
+    let mut warmth = warmth();
+    send(&mut warmth, at(0), LIMIT / 2);
+    assert!(warmth.needs_check(at(1)));
+    warmth.said_cold(at(1), at(3));
+    assert!(!warmth.needs_check(at(4)) && warmth.needs_check(at(260)));
+}
+
 #[test]
 fn statements_count_by_their_age() {
     struct Case {
--- a/crates/sidecar/tests/warmth.rs
+++ b/crates/sidecar/tests/warmth.rs
@@ -82,3 +82,16 @@
     assert!(most <= ALLOWED, "{most} requests in a second");
     assert!(served >= 30, "only {served} served");
 }
+
+// Guards against a target that is taken to be cold for much longer than its health answer says.
+#[tokio::test]
+async fn a_target_gets_its_full_load_again_once_it_is_warm() {
+    let deployment = started_deployment().await;
+    let target = &deployment.vms[0].target;
+    target.set_cold(Duration::from_millis(700));
+    send_load(&deployment, "cold", Duration::from_millis(700)).await;
+    target.set_cold(Duration::ZERO);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let served = send_load(&deployment, "warm", Duration::from_secs(2)).await;
+    assert!(served > 100, "only {served} served");
+}
