A crash is also recognised by the next incarnation of the target

What callers saw: a request that crashes its targets was not stopped where each target was back before the guard looked.

Cause: the guard looks once, right after the connection broke, whether the target's port refuses connections.

It also holds that a connection that breaks at a target which answers later requests is no crash.

Change: a broken run is kept for ten seconds, and reported when another incarnation sends its first heartbeat, unless the one before left or answered a request that was sent later.

--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -172,6 +172,9 @@
                 if matches!(outcome, Outcome::Answer(_)) {
                     self.clear(known_crashes);
                 }
+                if !is_misdirected(&outcome) {
+                    self.clear_broken(&target.life, begun);
+                }
                 outcome
             }
             Ok(Err(Failure::Late)) => not_run(Refusal::Late),
@@ -326,6 +329,11 @@
     }
 }
 
+/// Returns whether another instance than the target answered.
+fn is_misdirected(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::NotRun { refusal: Refusal::Misdirected, .. })
+}
+
 /// Returns whether a response says that the target did not run the request.
 fn is_not_run(status: StatusCode, headers: &HeaderMap) -> bool {
     status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(headers::NOT_RUN)
--- a/crates/sidecar/src/guard/heartbeats.rs
+++ b/crates/sidecar/src/guard/heartbeats.rs
@@ -88,6 +88,9 @@
         let changed =
             before != (Some(heartbeat.address), state.target_refusal) || kind == HeartbeatKind::New;
         drop(state);
+        if kind == HeartbeatKind::New {
+            self.report_replaced(&life);
+        }
         self.update_cold_limit();
         // It says nothing of the moment at which it was sent: it may prove that the target is cold,
         // and not that it is warm.
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -15,6 +15,7 @@
 
 use crate::configuration::ActiveRuleset;
 use crate::guard::bodies::BodyMemory;
+use crate::guard::crashes::BrokenRun;
 use crate::guard::incarnations::Incarnations;
 use crate::guard::pool::Pool;
 use crate::guard::probe;
@@ -115,6 +116,8 @@
     pub(super) starts: StartLimits,
     /// Requests that crash their targets, as far as this node knows.
     pub(super) crashes: RefCell<Crashes>,
+    /// Runs that may turn out to have crashed the target, oldest first.
+    pub(super) broken: RefCell<Vec<BrokenRun>>,
     /// What this guard found of such requests and the peers are to be told.
     crash_notices: mpsc::UnboundedSender<CrashNotice>,
     pub(super) crash_receiver: RefCell<Option<mpsc::UnboundedReceiver<CrashNotice>>>,
@@ -154,6 +157,7 @@
             queued: Notify::new(),
             starts: StartLimits::default(),
             crashes: RefCell::default(),
+            broken: RefCell::default(),
             crash_notices,
             crash_receiver: RefCell::new(Some(crash_receiver)),
             changes,
--- a/crates/sidecar/tests/crashes.rs
+++ b/crates/sidecar/tests/crashes.rs
@@ -1,6 +1,6 @@
 //! Requests that crash the targets that run them.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use standin::caller::TestRequest;
 use standin::deployment::{Deployment, eventually};
@@ -94,3 +94,40 @@
     }
     assert_eq!(ran, 3, "it ran {ran} times of 6");
 }
+
+// Guards against crashes that are not counted because the target is back before the node looks.
+#[tokio::test]
+async fn a_request_whose_targets_are_back_at_once_is_stopped_after_the_third() {
+    let mut deployment = Deployment::prepare(NODE, &[("dc-1", "a"), ("dc-1", "b")]).await;
+    deployment.start_nodes().await;
+    let begun = Instant::now();
+    let send = async |id: &str, path, behaviour| {
+        let request = TestRequest { id, path, behaviour, ..TestRequest::default() };
+        deployment.send_request(1, &request).await.map(|answer| answer.status)
+    };
+    let restart = async |round: u64| {
+        let (vm, id) = (&deployment.vms[0], format!("i-{round}"));
+        vm.target.set_id(&id);
+        // The new instance refuses what is meant for the one before.
+        assert_eq!(send("misdirected", "/once/other", "-").await, Some(503));
+        assert_eq!(vm.heartbeat_as(&id, 2_000 + round, 1, "ready", 0.0).await, 200);
+        let served = eventually(Duration::from_secs(2), async || {
+            send("other", "/once/other", "-").await == Some(200)
+        });
+        assert!(served.await, "round {round}");
+    };
+    // Connections of a target that answers later requests broke for another reason.
+    for round in 0..3 {
+        assert_eq!(send(&format!("reset-{round}"), "/once/reset", "reset").await, Some(502));
+        assert_eq!(send("other", "/once/other", "-").await, Some(200));
+        restart(round).await;
+    }
+    assert_eq!(send("reset-3", "/once/reset", "-").await, Some(200));
+    for round in 3..6 {
+        assert_eq!(send(&format!("crash-{round}"), "/once/crash", "reset").await, Some(502));
+        restart(round).await;
+    }
+    assert_eq!(send("crash-6", "/once/crash", "-").await, Some(503));
+    assert_eq!(deployment.run_count("crash-6"), 0);
+    assert!(begun.elapsed() < Duration::from_secs(30));
+}
