Limits of starts that overtake their attempts; names of warmth

Cause: a frame that limits the start of an attempt travels on a stream of its own and may arrive before it, when the packet of the attempt was lost; the limit was then dropped and the attempt cut as before. A health answer without the target's id proved nothing, and the next request asked again at once.

Change: the guard keeps 64 limits that came without an attempt. An answer that proves nothing is followed by the same pause as none. Statements of warmth are recorded by record_cold, record_warm and record_no_answer; the check of a target is in two functions.

The early limit has no test of its own: the order of two streams cannot be set from outside.

--- a/crates/policy/src/warmth.rs
+++ b/crates/policy/src/warmth.rs
@@ -1,6 +1,6 @@
 //! What a target may be sent while it is cold or may have become cold.
 //!
-//! A target may become cold at any moment, and says so only when it is asked and in its heartbeats. So
+//! A target may become cold at any moment, and states it only in health answers and heartbeats. So
 //! whatever it was sent since it last proved that it is warm counts as if it were cold now: in any
 //! second, that stays within the limit of a cold target. A health check is due before the limit is
 //! used up, so that a warm target does not wait.
@@ -22,11 +22,11 @@
 pub struct Warmth {
     /// Limit of requests in any second. `None` if it is not known.
     limit: Option<u32>,
-    /// Whether the target may become cold without a word.
-    is_doubted: bool,
-    /// Until when the target is cold by what it said.
+    /// Whether the limit also holds for what is sent without a proof that the target is warm.
+    needs_proof: bool,
+    /// Until when the target is cold, by its own statements.
     cold_until: Time,
-    /// When it last said that it is cold.
+    /// When the last statement that it is cold arrived.
     cold_at: Time,
     /// When the health check was sent that last proved that the target is warm.
     warm_at: Time,
@@ -36,38 +36,38 @@
 }
 
 impl Warmth {
-    /// Sets the limit of a cold target, in requests in any second. `is_doubted` tells whether the
-    /// limit also holds for what is sent without a proof that the target is warm.
-    pub fn set_limit(&mut self, limit: u32, is_doubted: bool) {
+    /// Sets the limit of a cold target, in requests in any second. `needs_proof` tells whether it also
+    /// holds for what is sent without a proof that the target is warm.
+    pub fn set_limit(&mut self, limit: u32, needs_proof: bool) {
         self.limit = Some(limit);
-        self.is_doubted = is_doubted;
+        self.needs_proof = needs_proof;
     }
 
-    /// Forgets what an earlier incarnation of the target said. What it was sent still counts.
+    /// Forgets the statements of an earlier incarnation. What it was sent still counts.
     pub fn reset(&mut self) {
-        let (limit, is_doubted, sent) = (self.limit, self.is_doubted, self.sent.clone());
-        *self = Warmth { limit, is_doubted, sent, ..Warmth::default() };
+        let (limit, needs_proof, sent) = (self.limit, self.needs_proof, self.sent.clone());
+        *self = Warmth { limit, needs_proof, sent, ..Warmth::default() };
     }
 
     /// Handles a statement that arrived at `now`: the target stays cold until `until`. It does not
     /// shorten an earlier one, since it may have been under way for long.
-    pub fn said_cold(&mut self, now: Time, until: Time) {
+    pub fn record_cold(&mut self, now: Time, until: Time) {
         self.cold_until = self.cold_until.max(until);
         self.cold_at = now;
         self.next_check = now.after(RETRY_US);
     }
 
     /// Handles the answer to a health check that was sent at `checked`: the target is warm. This
-    /// ends what it said before that.
-    pub fn said_warm(&mut self, checked: Time) {
+    /// replaces earlier statements.
+    pub fn record_warm(&mut self, checked: Time) {
         if checked > self.cold_at || self.cold_at == Time::default() {
             self.cold_until = Time::default();
             self.warm_at = self.warm_at.max(checked);
         }
     }
 
-    /// Handles a health check that did not tell.
-    pub fn said_nothing(&mut self, now: Time) {
+    /// Handles a health check without an answer that tells the warmth.
+    pub fn record_no_answer(&mut self, now: Time) {
         self.next_check = now.after(RETRY_US);
     }
 
@@ -76,7 +76,7 @@
         self.sent.sent(now);
     }
 
-    /// Returns whether the target is cold by what it said.
+    /// Returns whether the target is cold, by its own statements.
     pub fn is_cold(&self, now: Time) -> bool {
         self.cold_until > now
     }
@@ -100,7 +100,7 @@
     /// Returns whether a health check is due.
     pub fn needs_check(&mut self, now: Time) -> bool {
         let Some(limit) = self.limit else { return false };
-        if !self.is_doubted || self.is_cold(now) || now < self.next_check {
+        if !self.needs_proof || self.is_cold(now) || now < self.next_check {
             return false;
         }
         let unproven = self.sent.count_since(now, self.warm_at);
@@ -125,7 +125,7 @@
 
     /// Returns from when on what was sent counts. `None` if nothing counts.
     fn counted_from(&self, now: Time) -> Option<Time> {
-        match (self.is_cold(now), self.is_doubted) {
+        match (self.is_cold(now), self.needs_proof) {
             (true, _) => Some(Time::default()),
             (false, true) => Some(self.warm_at),
             (false, false) => None,
--- a/crates/policy/tests/heavy_load.rs
+++ b/crates/policy/tests/heavy_load.rs
@@ -192,7 +192,7 @@
         let short = SlotRequest { work_us: 20 * MS, ..slot_request(1, 300, 2_000) };
         assert_eq!(admission.admit(at(500), short), Decision::Run);
         admission.warmth_mut().set_limit(20, false);
-        admission.warmth_mut().said_cold(at(0), at(3_000));
+        admission.warmth_mut().record_cold(at(0), at(3_000));
         assert_eq!(admission.admit(at(500), slot_request(2, 300, 2_000)), Decision::Run);
     }
 
@@ -281,7 +281,7 @@
     fn no_second_exceeds_the_limit_of_a_cold_target() {
         let mut admission = admission(50);
         admission.warmth_mut().set_limit(30, false);
-        admission.warmth_mut().said_cold(at(0), at(5_000));
+        admission.warmth_mut().record_cold(at(0), at(5_000));
         let mut sent: Vec<u64> = Vec::new();
         for ms in 0..4_000 {
             let decision = admission.admit(at(ms), slot_request(ms, ms + 300, ms + 20));
@@ -394,7 +394,7 @@
     fn cold_admission(slots: u32) -> Admission {
         let mut admission = admission(slots);
         admission.warmth_mut().set_limit(100, false);
-        admission.warmth_mut().said_cold(at(0), at(10_000));
+        admission.warmth_mut().record_cold(at(0), at(10_000));
         admission
     }
 
--- a/crates/policy/tests/named_rate.rs
+++ b/crates/policy/tests/named_rate.rs
@@ -145,7 +145,7 @@
     for Case { limit, cold, sent } in cases {
         let mut admission = limited(limit);
         admission.warmth_mut().set_limit(cold, false);
-        admission.warmth_mut().said_cold(at(0), at(10_000));
+        admission.warmth_mut().record_cold(at(0), at(10_000));
         let mut runs = 0;
         for ms in 0..1_000 {
             let decision = admission.admit(at(ms), request(ms, 1, true));
--- a/crates/policy/tests/warmth.rs
+++ b/crates/policy/tests/warmth.rs
@@ -35,11 +35,11 @@
     assert_eq!(send(&mut warmth, at(0), 100), LIMIT - 1);
     assert!(warmth.needs_check(at(0)));
     // What was sent before the check is proved; what was sent after it is not.
-    warmth.said_warm(at(1));
+    warmth.record_warm(at(1));
     assert_eq!(send(&mut warmth, at(2), 9), 9);
     assert!(!warmth.needs_check(at(2)));
     assert_eq!(send(&mut warmth, at(2), 100), LIMIT - 10);
-    warmth.said_nothing(at(3));
+    warmth.record_no_answer(at(3));
     assert!(!warmth.needs_check(at(200)) && warmth.needs_check(at(260)));
     assert_eq!((warmth.room(at(260)), warmth.next_room(at(260))), (Some(0), at(1_052)));
 }
@@ -51,7 +51,7 @@
     let mut warmth = warmth();
     send(&mut warmth, at(0), LIMIT / 2);
     assert!(warmth.needs_check(at(1)));
-    warmth.said_cold(at(1), at(3));
+    warmth.record_cold(at(1), at(3));
     assert!(!warmth.needs_check(at(4)) && warmth.needs_check(at(260)));
 }
 
@@ -71,10 +71,10 @@
     ];
     for Case { cold_ms: (said, until), warm_ms, is_cold } in cases {
         let mut warmth = warmth();
-        warmth.said_cold(at(said), at(until));
+        warmth.record_cold(at(said), at(until));
         // One that was under way for long does not shorten it.
-        warmth.said_cold(at(said), at(until - 2_000));
-        warmth.said_warm(at(warm_ms));
+        warmth.record_cold(at(said), at(until - 2_000));
+        warmth.record_warm(at(warm_ms));
         assert_eq!(warmth.is_cold(at(2_000)), is_cold, "warm at {warm_ms}");
         assert!(!warmth.is_cold(at(until)));
         // Another incarnation has said nothing, and what was sent counts.
@@ -106,15 +106,15 @@
                 let late_ms = rng.random_range(0..2_000) * u64::from(rng.random_bool(0.3));
                 let said_ms = (cold_ms + late_ms) * u64::from(cold_ms > 0);
                 if said_ms > 0 {
-                    warmth.said_cold(at(ms), at(ms + said_ms));
+                    warmth.record_cold(at(ms), at(ms + said_ms));
                 }
             }
             match check {
                 Some((checked, due, answer)) if due <= ms => {
                     match answer {
-                        Some(0) => warmth.said_warm(at(checked)),
-                        Some(cold_ms) => warmth.said_cold(at(ms), at(ms + cold_ms)),
-                        None => warmth.said_nothing(at(ms)),
+                        Some(0) => warmth.record_warm(at(checked)),
+                        Some(cold_ms) => warmth.record_cold(at(ms), at(ms + cold_ms)),
+                        None => warmth.record_no_answer(at(ms)),
                     }
                     check = None;
                 }
--- a/crates/sidecar/src/guard/probe.rs
+++ b/crates/sidecar/src/guard/probe.rs
@@ -70,39 +70,42 @@
         let check = check_pooled(&guard);
         tokio::pin!(check);
         let in_time = tokio::time::timeout(SLOWNESS_TIMEOUT, &mut check).await;
-        let load = match &in_time {
-            Ok(Ok(head)) => headers::target_load(&head.headers),
-            Ok(Err(_)) | Err(_) => None,
-        };
-        let now = guard.clock.now();
-        {
-            let admission = &mut guard.state.borrow_mut().admission;
-            match load {
-                Some(load) => admission.set_slowness(now, load.slowness),
-                None => admission.set_slowness_unknown(now),
-            }
-        }
-        guard.start_waiting();
+        record_slowness(&guard, in_time.as_ref().ok().and_then(|answer| answer.as_ref().ok()));
         // Requests do not wait for the slowness any more, but a late answer still tells the warmth.
         let answer = match in_time {
             Ok(answer) => Ok(answer),
             Err(_) => tokio::time::timeout(PROBE_TIMEOUT, check).await,
         };
-        match answer {
-            Ok(Ok(_)) => {}
-            Ok(Err(error)) => {
-                tracing::debug!(%error, "target: a health check failed");
-                guard.state.borrow_mut().admission.warmth_mut().said_nothing(guard.clock.now());
-            }
-            Err(_) => {
-                guard.state.borrow_mut().admission.warmth_mut().said_nothing(guard.clock.now());
-            }
+        let failure = match answer {
+            Ok(Ok(_)) => None,
+            Ok(Err(error)) => Some(error.to_string()),
+            Err(_) => Some("no answer in time".to_owned()),
+        };
+        if let Some(detail) = failure {
+            tracing::debug!(detail, "target: a health check failed");
+            let now = guard.clock.now();
+            guard.state.borrow_mut().admission.warmth_mut().record_no_answer(now);
         }
         guard.checking.set(false);
         guard.start_waiting();
     });
 }
 
+/// Records how slow the VM is by an answer, if there is one, and starts the requests that waited for
+/// this.
+fn record_slowness(guard: &Rc<Guard>, answer: Option<&Head>) {
+    let now = guard.clock.now();
+    let load = answer.and_then(|head| headers::target_load(&head.headers));
+    {
+        let admission = &mut guard.state.borrow_mut().admission;
+        match load {
+            Some(load) => admission.set_slowness(now, load.slowness),
+            None => admission.set_slowness_unknown(now),
+        }
+    }
+    guard.start_waiting();
+}
+
 /// Sends a health check on a pooled connection, or on a new one that is kept.
 async fn check_pooled(guard: &Rc<Guard>) -> std::io::Result<Head> {
     let target = guard.state.borrow().target.clone();
--- a/crates/sidecar/src/guard/starts.rs
+++ b/crates/sidecar/src/guard/starts.rs
@@ -11,11 +11,17 @@
 
 use crate::guard::state::Guard;
 
+/// The most limits that are kept for attempts that have not arrived.
+const MAX_EARLY: usize = 64;
+
 /// The limits of the attempts that are being handled.
 #[derive(Debug, Default)]
 pub(super) struct StartLimits {
     /// The id of each attempt's request and its limit, in order of arrival.
     open: RefCell<Vec<(String, Rc<watch::Sender<Time>>)>>,
+    /// Limits that arrived without their attempts, oldest first: streams may overtake each other, or
+    /// the attempt has ended.
+    early: RefCell<Vec<(String, Time)>>,
 }
 
 /// The limit of one attempt. Dropping it forgets the limit.
@@ -30,6 +36,8 @@
     pub fn track_start(self: &Rc<Guard>, attempt: &mut Attempt) -> StartLimit {
         let within = wire::take_start_within(&mut attempt.fields);
         let until = within.map_or(Time::NEVER, |us| self.clock.now().after(us));
+        let early = self.starts.early.borrow().iter().find(|(id, _)| *id == attempt.id).cloned();
+        let until = early.map_or(until, |(_, latest)| latest.min(until));
         let until = Rc::new(watch::Sender::new(until));
         self.starts.open.borrow_mut().push((attempt.id.clone(), until.clone()));
         StartLimit { guard: self.clone(), until }
@@ -39,9 +47,16 @@
     /// to the target.
     pub fn limit_start(&self, id: &str, us: u64) {
         let latest = self.clock.now().after(us);
-        for (_, until) in self.starts.open.borrow().iter().filter(|(open, _)| open == id) {
+        let open = self.starts.open.borrow();
+        if let Some((_, until)) = open.iter().find(|(open, _)| open == id) {
             until.send_modify(|until| *until = latest.min(*until));
+            return;
+        }
+        let mut early = self.starts.early.borrow_mut();
+        if early.len() >= MAX_EARLY {
+            early.remove(0);
         }
+        early.push((id.to_owned(), latest));
     }
 }
 
--- a/crates/sidecar/src/guard/statements.rs
+++ b/crates/sidecar/src/guard/statements.rs
@@ -41,7 +41,10 @@
         let is_target = headers::answering_instance(answer).is_some_and(|id| id == target.life.id);
         match headers::cold_us(answer) {
             0 if is_target => self.note_warm(&target.life, sent),
-            0 => {}
+            0 => {
+                let now = self.clock.now();
+                self.state.borrow_mut().admission.warmth_mut().record_no_answer(now);
+            }
             cold_us => self.note_cold(&target.life, cold_us, "health check"),
         }
     }
@@ -58,14 +61,14 @@
             let (unproven, proof_us) = warmth.unproven(now);
             tracing::info!(id = &*life.id, cold_us, source, unproven, proof_us, "target: cold");
         }
-        warmth.said_cold(now, now.after(cold_us));
+        warmth.record_cold(now, now.after(cold_us));
     }
 
     /// Handles the answer of an incarnation to a health check that was sent at `sent`: it is warm.
     fn note_warm(&self, life: &Life, sent: Time) {
         let mut state = self.state.borrow_mut();
         if state.incarnations.current() == Some(life) {
-            state.admission.warmth_mut().said_warm(sent);
+            state.admission.warmth_mut().record_warm(sent);
         }
     }
 
