--- a/crates/sidecar/tests/drains.rs
+++ b/crates/sidecar/tests/drains.rs
@@ -336,6 +336,9 @@
     });
     let statuses = futures_util::future::join_all(callers).await;
     let mut wrong = Vec::new();
+    // What nodes tell each other is not passed on.
+    let runs = deployment.vms[1].target.runs();
+    assert!(runs.iter().all(|run| !run.head.contains("bamboowheel-")));
     for (number, (case, status)) in cases.iter().zip(statuses).enumerate() {
         let ran = deployment.run_count(&format!("late-{number}"));
         let (sent, work) = (case.sent_ms, case.work_ms);
@@ -374,3 +377,24 @@
     let waited = ended.elapsed();
     assert!(waited < Duration::from_millis(200), "the caller waited for {waited:?}");
 }
+
+// Guards against a node that stops by the grace period that its settings had at its start.
+#[tokio::test]
+async fn a_node_stops_within_the_grace_period_that_its_settings_have_now() {
+    let mut deployment = Deployment::prepare(NODE, &[("dc-1", "b"), ("dc-1", "a")]).await;
+    deployment.timeout_s = 30.0;
+    deployment.start_nodes().await;
+    let mut caller = Caller::connect(deployment.vms[0].caller_address()).await.unwrap();
+    let behaviour = "work=20000";
+    let request =
+        TestRequest { id: "long", timeout_ms: 9_500, behaviour, ..TestRequest::default() };
+    caller.send(&request.bytes()).await.unwrap();
+    let is_running =
+        eventually(Duration::from_secs(1), async || deployment.run_count("long") == 1).await;
+    assert!(is_running);
+    deployment.vms[0].set_grace(3);
+    deployment.vms[0].signal("-HUP").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    deployment.vms[0].terminate().await;
+    assert!(deployment.vms[0].exits_within(Duration::from_secs(3)).await);
+}
