--- a/crates/sidecar/src/entry/estimates.rs
+++ b/crates/sidecar/src/entry/estimates.rs
@@ -11,8 +11,8 @@
 const WORK_STEP: f64 = 0.04;
 /// The estimate of the work time before the first answer, in microseconds.
 const INITIAL_WORK_US: f64 = 100_000.0;
-/// How much one answer lowers the estimated time of slow work, as a share of the difference. Answers
-/// that take five times as long as usual come in twenty.
+/// How much one answer lowers the estimated time of slow work, as a share of the difference: a slow
+/// answer counts for about the next fifty.
 const SLOW_WEIGHT: f64 = 0.02;
 /// The estimate of the time of slow work before the first answer, in microseconds.
 const INITIAL_SLOW_US: f64 = 1_000_000.0;
--- a/crates/sidecar/src/entry/state.rs
+++ b/crates/sidecar/src/entry/state.rs
@@ -98,7 +98,7 @@
         let stopping = shutdown.wait_for(Option::is_some).await;
         match stopping.ok().and_then(|shutdown| *shutdown) {
             Some(shutdown) => shutdown,
-            // The sender is dropped with the entry.
+            // The sender lives as long as the entry.
             None => std::future::pending().await,
         }
     }
--- a/crates/sidecar/src/guard/crashes.rs
+++ b/crates/sidecar/src/guard/crashes.rs
@@ -1,6 +1,8 @@
-//! Requests that crash the target, refused after the third time. A crash is recognised when a
-//! connection broke while a request ran, and then the target's port refuses connections, or the next
-//! that the target says is that it is another incarnation.
+//! Requests that crash the target, refused after the third time.
+//!
+//! A crash is recognised in two ways after a connection broke while a request ran: the target's port
+//! refuses connections right then, or another incarnation sends its first heartbeat before the broken
+//! one has answered a later request.
 
 use std::io::ErrorKind;
 use std::rc::Rc;
--- a/crates/sidecar/src/guard/heartbeats.rs
+++ b/crates/sidecar/src/guard/heartbeats.rs
@@ -92,8 +92,8 @@
             self.report_replaced(&life);
         }
         self.update_cold_limit();
-        // It says nothing of the moment at which it was sent: it may prove that the target is cold,
-        // and not that it is warm.
+        // It may have been under way for seconds, so that it can show that the target is cold, but
+        // not that it is warm.
         if heartbeat.cold_us > 0 {
             self.note_cold(&life, heartbeat.cold_us, "heartbeat");
         }
--- a/crates/sidecar/src/guard/starts.rs
+++ b/crates/sidecar/src/guard/starts.rs
@@ -1,5 +1,7 @@
-//! The latest times at which attempts may be sent to the target. An entry that stops sets one for each
-//! of its attempts, since nobody would receive the answer of a later one.
+//! The latest times at which attempts may be sent to the target.
+//!
+//! An entry that stops sets one for each of its attempts: the answer to an attempt that starts later
+//! would not reach the caller.
 
 use std::cell::RefCell;
 use std::rc::Rc;
