Interfaces: workspaces, quotas, roll-outs, and the frames that carry them

Cause: the new deployments have keys, quotas over all nodes and roll-outs, of which nothing is decoded. Nodes of earlier versions get a ruleset in their format, unless it has workspaces.

--- a/crates/sidecar/src/configuration/watcher.rs
+++ b/crates/sidecar/src/configuration/watcher.rs
@@ -8,7 +8,7 @@
 use platform::operator::{self, OperatorRow};
 use platform::store::{Error, Row, Rows, StoreClient};
 use rand::Rng;
-use world::{Name, Routing, Ruleset, set_out};
+use world::{Name, Rollout, Routing, Ruleset, set_out, set_rollout};
 
 use crate::configuration::ActiveRuleset;
 
@@ -37,6 +37,7 @@
 struct TableState {
     routing: Option<Routing>,
     out: Vec<Name>,
+    rollouts: Vec<Rollout>,
     revision: u64,
 }
 
@@ -45,6 +46,9 @@
         match operator::decode(row) {
             Ok(OperatorRow::Routing(routing)) => self.routing = Some(routing),
             Ok(OperatorRow::DataCentre { name, out }) => set_out(&mut self.out, name, out),
+            Ok(OperatorRow::Rollout { service, order }) => {
+                set_rollout(&mut self.rollouts, &service, order);
+            }
             Ok(OperatorRow::Other) => {}
             Err(error) => tracing::error!(key = row.key, %error, "config: a row was ignored"),
         }
@@ -57,7 +61,8 @@
 
     fn ruleset(&self) -> Option<Ruleset> {
         let routing = self.routing.clone()?;
-        Some(Ruleset { revision: self.revision, routing, out: self.out.clone() })
+        let (out, rollouts) = (self.out.clone(), self.rollouts.clone());
+        Some(Ruleset { revision: self.revision, routing, out, rollouts })
     }
 }
 
--- a/crates/sidecar/src/peers/exchange.rs
+++ b/crates/sidecar/src/peers/exchange.rs
@@ -151,7 +151,10 @@
                 | Reply::Ruleset(_)
                 | Reply::Nodes(_)
                 | Reply::Members { .. }
-                | Reply::Kept => {
+                | Reply::Kept
+                | Reply::Rules(_)
+                | Reply::Tokens(_)
+                | Reply::Exposure(_) => {
                     return self.lost("the reply is of another kind".to_owned());
                 }
             };
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -355,8 +355,8 @@
     /// Asks a peer for its ruleset, and replaces the one in force if that is newer.
     async fn fetch_ruleset(&self, peer: &Peer) {
         let name = peer.node().name;
-        match self.request(peer, &Frame::Fetch).await {
-            Ok(Reply::Ruleset(Some(ruleset))) => {
+        match self.request(peer, &Frame::FetchRules).await {
+            Ok(Reply::Rules(Some(ruleset))) => {
                 self.rules.update(*ruleset, &name);
             }
             Ok(_) => tracing::warn!(peer = &*name, "config: the reply is no ruleset"),
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
+use wire::EarlierRuleset;
 use wire::link::{Attempt, Datagram, Frame, Reply};
 
 use crate::guard::Outcome;
@@ -101,8 +102,17 @@
         }
         Frame::Fetch => {
             let rules = peers.rules.current();
-            Reply::Ruleset(rules.map(|rules| Box::new((*rules).clone())))
+            Reply::Ruleset(
+                rules.and_then(|rules| EarlierRuleset::from_ruleset(&rules)).map(Box::new),
+            )
         }
+        Frame::FetchRules => {
+            let rules = peers.rules.current();
+            Reply::Rules(rules.map(|rules| Box::new((*rules).clone())))
+        }
+        // No node counts the requests of workspaces or coordinates roll-outs yet.
+        Frame::Tokens(_) => Reply::Tokens(Vec::new()),
+        Frame::Evidence(_) => Reply::Exposure(None),
         Frame::FetchNodes => Reply::Nodes(peers.nodes()),
         Frame::Sync(summary) => peers.differing_members(&summary),
         Frame::Members(members) => {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,12 +7,14 @@
 //! its end carries an incomplete body.
 
 mod codec;
+mod earlier;
 mod fields;
 pub mod link;
 mod message;
 pub mod tls;
 
 pub use codec::{Error, FRAME_LIMIT, VERSION, decode, encode, read, write};
+pub use earlier::EarlierRuleset;
 pub use fields::{
     add_fields, add_leaving, add_limit, add_start_within, end_to_end, take_leaving, take_limit,
     take_start_within,
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -6,11 +6,15 @@
 
 use std::net::SocketAddr;
 
-use policy::{CrashNotice, Member, MemberMessage, Refusal, Report, Watcher};
+use policy::{
+    CrashNotice, EvidenceReport, ExposureGrant, Member, MemberMessage, Refusal, Report, TokenGrant,
+    TokenRequest, Watcher,
+};
 use serde::{Deserialize, Serialize};
 use world::{Name, Ruleset};
 
 use crate::Field;
+use crate::earlier::EarlierRuleset;
 
 /// The identity and address of a node, as other nodes know it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -107,7 +111,7 @@
     Attempt(Box<Attempt>),
     /// Reports a change in the sender's state. Answered by [`Reply::Noted`].
     Status(Box<Status>),
-    /// Asks for the ruleset in force. Answered by [`Reply::Ruleset`].
+    /// Asks for the ruleset in force, from nodes of earlier versions. Answered by [`Reply::Ruleset`].
     Fetch,
     /// Asks for every node that the receiver knows. Answered by [`Reply::Nodes`].
     FetchNodes,
@@ -130,6 +134,13 @@
         /// The time from the frame's arrival, in microseconds.
         us: u64,
     },
+    /// Asks for the ruleset in force. Answered by [`Reply::Rules`]. Nodes of earlier versions close
+    /// the stream.
+    FetchRules,
+    /// Asks a keeper for tokens of workspaces. Answered by [`Reply::Tokens`].
+    Tokens(Vec<TokenRequest>),
+    /// Reports to the coordinator of a roll-out. Answered by [`Reply::Exposure`].
+    Evidence(Box<EvidenceReport>),
 }
 
 /// A message that is sent as a datagram and not answered.
@@ -195,8 +206,9 @@
     },
     /// Acknowledges [`Frame::Status`].
     Noted,
-    /// Answers [`Frame::Fetch`]. Absent if the node has no ruleset.
-    Ruleset(Option<Box<Ruleset>>),
+    /// Answers [`Frame::Fetch`]. Absent if the node has no ruleset, or one that nodes of earlier
+    /// versions cannot apply.
+    Ruleset(Option<Box<EarlierRuleset>>),
     /// Answers [`Frame::FetchNodes`].
     Nodes(Vec<Node>),
     /// Answers [`Frame::Sync`] with the members of the buckets whose digests differ.
@@ -208,4 +220,10 @@
     },
     /// Answers [`Frame::Release`] if the link is still needed.
     Kept,
+    /// Answers [`Frame::FetchRules`]. Absent if the node has no ruleset.
+    Rules(Option<Box<Ruleset>>),
+    /// Answers [`Frame::Tokens`], one grant for each workspace that was asked for.
+    Tokens(Vec<TokenGrant>),
+    /// Answers [`Frame::Evidence`]. Absent if the node does not coordinate the roll-out.
+    Exposure(Option<ExposureGrant>),
 }
--- a/crates/world/src/code.rs
+++ b/crates/world/src/code.rs
@@ -57,6 +57,9 @@
     AnswerLost = 2019, "the request ran once, and its answer was too large to be kept";
     TargetBusy = 2020, "the target bears no more at the moment";
     LengthMissing = 2021, "a body needs a content-length";
+    KeyUnauthorized = 2022, "the request has no key of a workspace";
+    QuotaExceeded = 2023, "the workspace has sent more than it may";
+    NoRoom = 2024, "the node has no memory or connection left for the request";
     Conflict = 3001, "another change was accepted first";
     StoreUnknown = 3002, "the store did not say whether the change took effect";
     StoreUnavailable = 3003, "the store is not available";
@@ -106,6 +109,8 @@
             Code::LengthMissing => 411,
             Code::KeyRunning | Code::KeyUnknown => 409,
             Code::KeyReused => 422,
+            Code::KeyUnauthorized => 401,
+            Code::QuotaExceeded => 429,
             Code::DeadlinePassed => 504,
             Code::TargetFailed | Code::LinkFailed | Code::AnswerCut | Code::AnswerLost => 502,
             _ => 503,
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -8,14 +8,19 @@
 mod parse;
 mod routing;
 mod target;
+mod workspace;
 
 pub use code::Code;
 pub use config::Config;
 pub use inventory::{Class, Contract, DataCentre, Inventory, Link, Rule, Service, Vm};
 pub use key::Key;
 pub use parse::{Fault, parse};
-pub use routing::{CallerLimits, Part, Repeat, RouteRule, Routing, Ruleset, ServiceRule, set_out};
+pub use routing::{
+    CallerLimits, Part, Repeat, Rollout, RouteRule, Routing, Ruleset, ServiceRule, set_out,
+    set_rollout,
+};
 pub use target::{Announcement, TargetState};
+pub use workspace::{KeyDigest, Quota, Workspace, Workspaces};
 
 /// A shared immutable string, cheap to clone: a name, or any other text of the configuration.
 pub type Name = std::sync::Arc<str>;
--- a/crates/world/src/routing.rs
+++ b/crates/world/src/routing.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Name;
+use crate::{Name, Workspaces};
 
 /// Whether a request that may have run may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,6 +44,8 @@
     pub attempts: u32,
     /// The priority under overload; 0 is served first.
     pub priority: u32,
+    /// Whether its requests need no key where there are workspaces.
+    pub public: bool,
 }
 
 /// Settings of a service that hold for each of its targets.
@@ -83,6 +85,8 @@
     services: Vec<ServiceRule>,
     /// Limits that hold for every route.
     pub limits: CallerLimits,
+    /// The workspaces whose keys requests need; none if requests need no key.
+    pub workspaces: Workspaces,
 }
 
 impl Routing {
@@ -96,7 +100,23 @@
         let length = |route: &RouteRule| std::cmp::Reverse(route.prefix.len());
         routes.sort_by(|a, b| a.host.cmp(&b.host).then(length(a).cmp(&length(b))));
         services.sort_by(|a, b| a.name.cmp(&b.name));
-        Routing { version, routes, services, limits }
+        let workspaces = Workspaces::default();
+        Routing { version, routes, services, limits, workspaces }
+    }
+
+    /// Returns the table with workspaces.
+    pub fn with_workspaces(self, workspaces: Workspaces) -> Routing {
+        Routing { workspaces, ..self }
+    }
+
+    /// Returns all routes, sorted by host, and within a host the longest prefix first.
+    pub fn routes(&self) -> &[RouteRule] {
+        &self.routes
+    }
+
+    /// Returns all services, sorted by name.
+    pub fn services(&self) -> &[ServiceRule] {
+        &self.services
     }
 
     /// Returns the route with the longest prefix of `path` at `host`. A port in `host` is ignored.
@@ -148,6 +168,21 @@
     pub routing: Routing,
     /// Data centres that are out of service, sorted.
     pub out: Vec<Name>,
+    /// The ordered roll-outs, sorted by service.
+    pub rollouts: Vec<Rollout>,
+}
+
+/// An order to move a service's requests to targets of another version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rollout {
+    /// The service. It has at most one order at a time.
+    pub service: Name,
+    /// The version to which its requests are to be moved.
+    pub version: Name,
+    /// The time within which that is to be done, in microseconds; above 0.
+    pub period_us: u64,
+    /// The revision of the row with the order, by which a repeated order is recognised.
+    pub revision: u64,
 }
 
 impl Ruleset {
@@ -155,6 +190,12 @@
     pub fn is_out(&self, data_centre: &str) -> bool {
         self.out.binary_search_by(|name| (**name).cmp(data_centre)).is_ok()
     }
+
+    /// Returns the ordered roll-out of a service.
+    pub fn rollout(&self, service: &str) -> Option<&Rollout> {
+        let at = self.rollouts.binary_search_by(|rollout| (*rollout.service).cmp(service)).ok()?;
+        Some(&self.rollouts[at])
+    }
 }
 
 /// Adds a data centre to a sorted list of those out of service, or removes it.
@@ -165,3 +206,14 @@
         _ => {}
     }
 }
+
+/// Puts a service's order into a sorted list, in place of an earlier one, or removes it.
+pub fn set_rollout(list: &mut Vec<Rollout>, service: &str, order: Option<Rollout>) {
+    let found = list.binary_search_by(|rollout| (*rollout.service).cmp(service));
+    match (found, order) {
+        (Ok(at), Some(order)) => list[at] = order,
+        (Err(at), Some(order)) => list.insert(at, order),
+        (Ok(at), None) => drop(list.remove(at)),
+        (Err(_), None) => {}
+    }
+}
--- a/crates/world/tests/routing.rs
+++ b/crates/world/tests/routing.rs
@@ -15,6 +15,7 @@
         aim_us: 1,
         attempts: 1,
         priority: 0,
+        public: false,
     }
 }
 
@@ -70,6 +71,6 @@
     {
         set_out(&mut out, data_centre.into(), is_out);
     }
-    let ruleset = Ruleset { revision: 1, routing: routing(Vec::new()), out };
+    let ruleset = Ruleset { revision: 1, routing: routing(Vec::new()), out, rollouts: Vec::new() };
     assert_eq!(["a", "b", "c"].map(|name| ruleset.is_out(name)), [true, false, false]);
 }
