Keys: requests need a key of a workspace, and targets get its name

Cause: nothing in the node knew of workspaces: requests ran without a key, the caller's key went to targets, and targets were not told the workspace. Change: the entry looks the key up in the ruleset in force when it has read the head, when it serves the request (early pipelined ones too), and before the first attempt. Without a key: 401 before the body is read, or 503 where a newer ruleset may hold it. authorization, x-tenant and x-caller-service of a caller do not travel on; without workspaces authorization does, as before. Invalid workspaces are rejected by name, never with a key. Metrics and log lines by workspace. A peer that sent a ruleset can be asked again for a newer one. Workspaces go to peers without the index of digests. For the quotas: Entry::admit_key returns Option<KeyHolder> (name, quota, priority); it is ActiveRequest::workspace, known in Entry::serve before the first attempt; after confirm_key is the place to take a token. Remove the expect(dead_code) on quota then. Rank: entry::keys::rank.

--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -16,6 +16,7 @@
 
 use crate::entry::attempt::{Destination, execute, wait_for_silence};
 use crate::entry::callers::{deadline, host};
+use crate::entry::keys::{self, KeyHolder};
 use crate::entry::responses::{CallerResponse, error_response, forward};
 use crate::entry::state::Entry;
 use crate::guard::{Answer, Outcome};
@@ -44,6 +45,8 @@
     entry: &'a Rc<Entry>,
     id: String,
     route: RouteRule,
+    /// The workspace of its key. `None` where it needs none.
+    workspace: Option<KeyHolder>,
     service: Name,
     method: String,
     path: String,
@@ -102,17 +105,21 @@
             };
             return self.refuse_unroutable(Code::NoService, status, head);
         };
+        let workspace = match self.admit_key(head, route, &ruleset) {
+            Ok(workspace) => workspace,
+            Err(refused) => return self.refuse_key(refused, head),
+        };
         let draw = self.rng.borrow_mut().random();
-        let excluded = [headers::TIMEOUT_MS, headers::TARGET_INSTANCE, headers::CALLER_SERVICE];
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let mut request = ActiveRequest {
             entry: self,
             id: id.and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned(),
             service: route.part(draw).service.clone(),
             route: route.clone(),
+            fields: keys::fields(head, workspace.as_ref(), &ruleset),
+            workspace,
             method: head.method.as_str().to_owned(),
             path: path.to_owned(),
-            fields: wire::end_to_end(&head.headers, &excluded),
             body,
             arrived,
             deadline: deadline(arrived, &head.headers, route.timeout_us),
@@ -130,6 +137,10 @@
             () = self.peers.use_service(&request.service) => {}
             () = self.start_passed(request.slow_work_us()) => {}
         }
+        // The key may have been withdrawn meanwhile.
+        if let Err(refused) = self.confirm_key(request.workspace.as_ref()) {
+            return self.refuse_key(refused, head);
+        }
         self.budgets
             .borrow_mut()
             .value_mut(&request.service)
@@ -155,8 +166,13 @@
         error_response(Code::ShuttingDown, StatusCode::SERVICE_UNAVAILABLE, id)
     }
 
-    /// Builds the response to a request without a route.
-    fn refuse_unroutable(&self, code: Code, status: StatusCode, head: &Parts) -> CallerResponse {
+    /// Builds the response to a request without a route or a key.
+    pub(super) fn refuse_unroutable(
+        &self,
+        code: Code,
+        status: StatusCode,
+        head: &Parts,
+    ) -> CallerResponse {
         let id = head.headers.get(headers::REQUEST_ID);
         if self.notable_lines.borrow_mut().take(self.clock.now(), 1.0) {
             let request = id.and_then(|id| id.to_str().ok());
@@ -349,7 +365,7 @@
             left_us: self.end().since(begun).saturating_sub(RETURN_US),
             aim_us: aim.since(begun).saturating_sub(RETURN_US),
             work_us: estimate.work_us as u64,
-            priority: self.route.priority,
+            priority: keys::rank(self.workspace.as_ref(), self.route.priority),
             elsewhere,
         };
         let (deadline, slow_us) = (self.end(), self.slow_work_us());
@@ -548,6 +564,10 @@
             (false, _) => "lost",
         };
         entry.metrics.record_call(&self.service, outcome, took_us as f64 / 1e6);
+        let workspace = self.workspace.as_ref().map(|workspace| &*workspace.name);
+        if let Some(workspace) = workspace {
+            entry.metrics.record_workspace(workspace, outcome);
+        }
         let notable = outcome != "answered" || took_us > self.route.aim_us;
         let bucket = if notable { &entry.notable_lines } else { &entry.routine_lines };
         if !bucket.borrow_mut().take(now, 1.0) {
@@ -558,6 +578,7 @@
             request = self.id,
             route = &*self.route.name,
             service = &*self.service,
+            workspace,
             status = status.as_u16(),
             took_us,
             target_us = self.target_us,
--- a/crates/sidecar/src/entry/callers.rs
+++ b/crates/sidecar/src/entry/callers.rs
@@ -11,7 +11,7 @@
 use http::request::Parts;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -228,6 +228,11 @@
     let _pending = entry.track_request();
     let arrived = entry.clock.now();
     let (head, body) = request.into_parts();
+    if let Err(refused) = entry.check_key(&head) {
+        let response = entry.refuse_key(refused, &head);
+        // The rest of the body is not read.
+        return if body.is_end_stream() { response } else { with_close(response) };
+    }
     let id = head.headers.get(headers::REQUEST_ID).cloned();
     let limits = entry.ruleset.current().map(|ruleset| ruleset.routing.limits);
     let max_bytes = limits.map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
--- a/crates/sidecar/src/entry/mod.rs
+++ b/crates/sidecar/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod callers;
 mod estimates;
+mod keys;
 mod pipeline;
 mod read_ahead;
 mod responses;
--- a/crates/sidecar/src/entry/responses.rs
+++ b/crates/sidecar/src/entry/responses.rs
@@ -38,6 +38,10 @@
     if let Some(id) = id {
         own.insert(headers::REQUEST_ID, id.clone());
     }
+    if status == StatusCode::UNAUTHORIZED {
+        let scheme = HeaderValue::from_static(headers::KEY_SCHEME);
+        own.insert(header::WWW_AUTHENTICATE, scheme);
+    }
     if status == StatusCode::SERVICE_UNAVAILABLE {
         let (least, most) = RETRY_AFTER_S;
         let seconds = rand::rng().random_range(least..most);
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a node, in the Prometheus text format.
 
+use std::cell::RefCell;
 use std::sync::atomic::AtomicU64;
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -8,6 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use world::Name;
 
 /// Upper bounds of the latency buckets. The routes' latency targets lie between 80 ms and 1.2 s.
 const LATENCY_BOUNDS_S: [f64; 13] =
@@ -25,12 +27,39 @@
     pub outcome: String,
 }
 
+/// The most workspaces that are counted by name. The others are counted together.
+const MAX_WORKSPACES: usize = 100;
+/// The name under which the other workspaces are counted.
+const OTHER_WORKSPACES: &str = "other";
+
+/// Labels of the counter of requests by workspace.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WorkspaceLabels {
+    /// The workspace, or `other`.
+    pub workspace: String,
+    /// How the request ended: `answered`, `failed`, `refused` or `lost`.
+    pub outcome: String,
+}
+
+/// Labels of the counter of requests that were refused for their key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KeyLabels {
+    /// `missing`, `unknown` or `withdrawn`.
+    pub reason: String,
+}
+
 /// The metrics of a node and the registry that renders them.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     /// Seconds from the arrival of a request's head until its answer is known.
     pub latency: Family<CallLabels, Histogram>,
+    /// Requests with a key, by its workspace.
+    workspaces: Family<WorkspaceLabels, Counter>,
+    /// Workspaces that are counted by name, sorted; at most [`MAX_WORKSPACES`].
+    named: RefCell<Vec<Name>>,
+    /// Requests that were refused for their key.
+    key_refusals: Family<KeyLabels, Counter>,
     /// Health checks that the guard sent to the target.
     pub probes: Counter,
     /// Requests that the guard sent to the target.
@@ -59,6 +88,10 @@
         let latency: Family<CallLabels, Histogram> =
             Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S));
         registry.register("call_seconds", "Time until the answer", latency.clone());
+        let workspaces: Family<WorkspaceLabels, Counter> = Family::default();
+        registry.register("workspace_requests", "Requests with a key", workspaces.clone());
+        let key_refusals: Family<KeyLabels, Counter> = Family::default();
+        registry.register("key_refusals", "Requests refused for their key", key_refusals.clone());
         let ruleset_wait = Histogram::new(RULESET_BOUNDS_S);
         let help = "Time from the first notice of a revision until it was in force";
         registry.register("ruleset_wait_seconds", help, ruleset_wait.clone());
@@ -80,6 +113,9 @@
         };
         Metrics {
             latency,
+            workspaces,
+            named: RefCell::default(),
+            key_refusals,
             probes: counter("target_probes", "Health checks of the target"),
             target_requests: counter("target_requests", "Requests sent to the target"),
             target_limit,
@@ -102,6 +138,26 @@
         self.latency.get_or_create(&labels).observe(seconds);
     }
 
+    /// Counts a request with a key of a workspace.
+    pub fn record_workspace(&self, workspace: &str, outcome: &str) {
+        let mut named = self.named.borrow_mut();
+        let name = match named.binary_search_by(|name| (**name).cmp(workspace)) {
+            Ok(_) => workspace,
+            Err(at) if named.len() < MAX_WORKSPACES => {
+                named.insert(at, workspace.into());
+                workspace
+            }
+            Err(_) => OTHER_WORKSPACES,
+        };
+        let labels = WorkspaceLabels { workspace: name.to_owned(), outcome: outcome.to_owned() };
+        self.workspaces.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request that was refused for its key.
+    pub fn record_key_refusal(&self, reason: &str) {
+        self.key_refusals.get_or_create(&KeyLabels { reason: reason.to_owned() }).inc();
+    }
+
     /// Records that a ruleset is in force, `seconds` after the first notice of its revision.
     pub fn record_ruleset(&self, revision: u64, seconds: f64) {
         self.revision.set(revision);
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -335,8 +335,10 @@
             asked.push(peer.node().name);
             let peers = self.clone();
             tokio::task::spawn_local(async move { peers.fetch_ruleset(&peer).await });
-            // Whether the ruleset changed or not, the peers tell whether there is a newer one.
-            let _ = tokio::time::timeout(FETCH_STEP, changed.changed()).await;
+            if tokio::time::timeout(FETCH_STEP, changed.changed()).await.is_ok() {
+                // A peer that sent it may have told of a newer one meanwhile.
+                asked.clear();
+            }
             next = self.newer_peer(&asked);
         }
     }
--- a/crates/sidecar/tests/drains.rs
+++ b/crates/sidecar/tests/drains.rs
@@ -223,6 +223,7 @@
                     timeout_ms,
                     behaviour,
                     body: "upload",
+                    headers: "",
                 };
                 Caller::connect(address).await.ok()?.send_request(&request).await
             })
@@ -323,6 +324,7 @@
             timeout_ms: 9_000,
             behaviour: &behaviour,
             body: "upload",
+            headers: "",
         };
         let bytes = request.bytes();
         let (first, rest) = bytes.split_at(case.pause_at.min(bytes.len() - 1));
--- a/crates/world/src/workspace.rs
+++ b/crates/world/src/workspace.rs
@@ -45,6 +45,7 @@
 
 /// All workspaces of a configuration, by name and by key.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Vec<Workspace>", into = "Vec<Workspace>")]
 pub struct Workspaces {
     /// Sorted by name.
     all: Vec<Workspace>,
@@ -52,13 +53,25 @@
     keys: Vec<(KeyDigest, u32)>,
 }
 
+impl From<Vec<Workspace>> for Workspaces {
+    fn from(all: Vec<Workspace>) -> Workspaces {
+        Workspaces::new(all)
+    }
+}
+
+impl From<Workspaces> for Vec<Workspace> {
+    fn from(workspaces: Workspaces) -> Vec<Workspace> {
+        workspaces.all
+    }
+}
+
 impl Workspaces {
     /// Creates them from a list in any order, whose names and keys are unique.
     pub fn new(mut all: Vec<Workspace>) -> Workspaces {
         all.sort_by(|a, b| a.name.cmp(&b.name));
         let of = |(at, workspace): (usize, &Workspace)| {
-            let keys = workspace.keys.clone();
-            keys.into_iter().map(move |key| (key, at as u32))
+            let keys: Vec<_> = workspace.keys.iter().map(|key| (*key, at as u32)).collect();
+            keys
         };
         let mut keys: Vec<_> = all.iter().enumerate().flat_map(of).collect();
         keys.sort_by_key(|(key, _)| *key);
