Bodies on links are read in their order

The stream was read in order for its frame and then without order for its body (read_to_end); at that switch quinn keeps overlapping copies of packets from before the read position, so that bytes are counted, and returned, twice. A release build does not end, but takes the body's length as wrong: the attempt is dropped or the answer is taken as cut. Change: wire::read_body reads in order, to the announced length and the end.

--- a/crates/sidecar/src/peers/exchange.rs
+++ b/crates/sidecar/src/peers/exchange.rs
@@ -183,11 +183,8 @@
         let Some(_held) = self.peers.guard.bodies.hold(length) else {
             return Err("the answer is longer than the node can hold".to_owned());
         };
-        let body = self.receive.read_to_end(length).await.map_err(|error| error.to_string())?;
-        match body.len() == length {
-            true => Ok(body.into()),
-            false => Err("the answer is cut".to_owned()),
-        }
+        let body = wire::read_body(&mut self.receive, length).await;
+        body.map(Bytes::from).map_err(|error| format!("the answer is cut: {error}"))
     }
 
     /// Ends the attempt with an unknown outcome.
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -157,7 +157,7 @@
     // The entry may limit the start while the body arrives.
     let start = peers.guard.track_start(&mut attempt);
     let length = attempt.length.min(MAX_BODY_BYTES);
-    let body = match receive.read_to_end(length as usize).await {
+    let body = match wire::read_body(&mut receive, length as usize).await {
         Ok(body) if body.len() as u64 == attempt.length => body,
         // The peer cancelled the attempt or the link broke. Nothing has been sent to the target.
         _ => return drop(send.reset(VarInt::from_u32(CANCELLED))),
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -84,6 +84,26 @@
     decode_message(&message)
 }
 
+/// Reads the body of `length` bytes that follows a frame, up to the end of the stream. Fails if the
+/// stream ends earlier or later.
+///
+/// The bytes are read in their order, as frames are. A QUIC stream that is read without order after an
+/// ordered read returns bytes of overlapping packets twice.
+pub async fn read_body(
+    stream: &mut (impl AsyncRead + Unpin),
+    length: usize,
+) -> Result<Vec<u8>, Error> {
+    let mut body = Vec::with_capacity(length);
+    stream.take(length as u64).read_to_end(&mut body).await?;
+    if body.len() < length {
+        return Err(std::io::Error::from(std::io::ErrorKind::UnexpectedEof).into());
+    }
+    match stream.read(&mut [0]).await? {
+        0 => Ok(body),
+        count => TrailingSnafu { count }.fail(),
+    }
+}
+
 /// Writes one frame to a stream, without flushing it.
 pub async fn write<T: Serialize>(
     stream: &mut (impl AsyncWrite + Unpin),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,7 @@
 mod message;
 pub mod tls;
 
-pub use codec::{Error, FRAME_LIMIT, VERSION, decode, encode, read, write};
+pub use codec::{Error, FRAME_LIMIT, VERSION, decode, encode, read, read_body, write};
 pub use earlier::EarlierRuleset;
 pub use fields::{
     add_fields, add_leaving, add_limit, add_start_within, end_to_end, take_leaving, take_limit,
