Quotas: keepers, votes and tokens as state machines

Cause: a workspace's quota holds over all nodes, and nothing counted its requests across them. Change: policy::quota with a keeper (votes, buckets), a client (ballots, allowances) and the split of the tolerance. The frames carry the slot, the vote and the grants: Tokens has TokenAsk and TokenReply in place of lists.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -58,7 +58,10 @@
 pub use pace::SlowdownDetector;
 pub use picker::{AttemptResult, Picker, Route};
 pub use queue::{Queue, QueuedRequest};
-pub use quota::{TokenGrant, TokenRequest};
+pub use quota::{
+    Keeper, OutgoingAsk, QuotaAdmission, QuotaClient, QuotaToken, QuotaTolerance, TokenAsk,
+    TokenGrant, TokenReply, TokenRequest,
+};
 pub use rate::RateWindow;
 pub use retries::{RetryBound, RetryBudget};
 pub use rollout::{EvidenceReport, ExposureGrant, RouteEvidence};
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -111,7 +111,7 @@
             Reply::Rules(rules.map(|rules| Box::new((*rules).clone())))
         }
         // No node counts the requests of workspaces or coordinates roll-outs yet.
-        Frame::Tokens(_) => Reply::Tokens(Vec::new()),
+        Frame::Tokens(_) => Reply::Tokens(Box::default()),
         Frame::Evidence(_) => Reply::Exposure(None),
         Frame::FetchNodes => Reply::Nodes(peers.nodes()),
         Frame::Sync(summary) => peers.differing_members(&summary),
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -7,8 +7,8 @@
 use std::net::SocketAddr;
 
 use policy::{
-    CrashNotice, EvidenceReport, ExposureGrant, Member, MemberMessage, Refusal, Report, TokenGrant,
-    TokenRequest, Watcher,
+    CrashNotice, EvidenceReport, ExposureGrant, Member, MemberMessage, Refusal, Report, TokenAsk,
+    TokenReply, Watcher,
 };
 use serde::{Deserialize, Serialize};
 use world::{Name, Ruleset};
@@ -137,8 +137,9 @@
     /// Asks for the ruleset in force. Answered by [`Reply::Rules`]. Nodes of earlier versions close
     /// the stream.
     FetchRules,
-    /// Asks a keeper for tokens of workspaces. Answered by [`Reply::Tokens`].
-    Tokens(Vec<TokenRequest>),
+    /// Asks a keeper for tokens of workspaces. Answered by [`Reply::Tokens`]. Nodes of earlier
+    /// versions close the stream.
+    Tokens(Box<TokenAsk>),
     /// Reports to the coordinator of a roll-out. Answered by [`Reply::Exposure`].
     Evidence(Box<EvidenceReport>),
 }
@@ -222,8 +223,8 @@
     Kept,
     /// Answers [`Frame::FetchRules`]. Absent if the node has no ruleset.
     Rules(Option<Box<Ruleset>>),
-    /// Answers [`Frame::Tokens`], one grant for each workspace that was asked for.
-    Tokens(Vec<TokenGrant>),
+    /// Answers [`Frame::Tokens`].
+    Tokens(Box<TokenReply>),
     /// Answers [`Frame::Evidence`]. Absent if the node does not coordinate the roll-out.
     Exposure(Option<ExposureGrant>),
 }
