Quotas: keepers and questions between nodes (not joined yet)

Cause: the decisions of policy::quota had no node around them. Change: peers::quota answers and asks, entry::quota admits requests; a clock that counts suspensions. Nothing calls the admission before the keys are merged.

--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -124,6 +124,17 @@
         self.others().filter(|member| member.is_up())
     }
 
+    /// Returns the number of nodes that may run, this one included: all that did not leave, and one
+    /// for each address. Dead ones may run beyond a broken link.
+    pub fn present(&self) -> usize {
+        let stays = |member: &&Member| member.health != Health::Left;
+        let others = self.others().filter(stays).map(|member| member.address);
+        let mut addresses: Vec<_> = others.chain([self.local.address]).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.len()
+    }
+
     /// Returns another member by its name, whatever its health.
     pub fn member(&self, name: &str) -> Option<&Member> {
         self.find(name).ok().map(|at| &self.records[at].member)
--- a/crates/policy/src/quota/allowance.rs
+++ b/crates/policy/src/quota/allowance.rs
@@ -84,6 +84,11 @@
         Some(expires)
     }
 
+    /// Returns whether it holds a token.
+    pub(super) fn has_tokens(&self, now: Time) -> bool {
+        self.count_held(now) > 0
+    }
+
     /// Puts a token back that was not used.
     pub(super) fn put_back(&mut self, expires: Time) {
         let at = self.held.partition_point(|batch| batch.expires <= expires);
--- a/crates/policy/src/quota/client.rs
+++ b/crates/policy/src/quota/client.rs
@@ -97,6 +97,17 @@
         }
     }
 
+    /// Returns the time until a workspace has room, in microseconds, if a request that arrives is
+    /// refused without a question. The request is counted then.
+    pub fn check(&mut self, now: Time, workspace: &Name, quota: Quota) -> Option<u64> {
+        let is_settled = self.ballot(workspace).is_some_and(|ballot| ballot.is_settled(now));
+        let allowance = self.allowance(workspace, quota);
+        let wait_us =
+            allowance.wait_us(now).filter(|_| is_settled && !allowance.has_tokens(now))?;
+        allowance.count(now);
+        Some(wait_us)
+    }
+
     /// Admits a request of a workspace that arrives, or comes back after its wait.
     pub fn admit(&mut self, now: Time, workspace: &Name, quota: Quota) -> QuotaAdmission {
         self.allowance(workspace, quota).count(now);
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -1,5 +1,6 @@
-//! The monotonic clock of the policies, and the wall clock.
+//! The monotonic clock of the policies, one that counts suspensions, and the wall clock.
 
+use std::cell::Cell;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use policy::Time;
@@ -30,12 +31,51 @@
     }
 }
 
+/// The least by which the wall clock goes ahead of the steady one for a suspension, in microseconds.
+const SUSPENSION_US: u64 = 100_000;
+
+/// A clock for what must not outlive a suspension of the VM, during which the steady clock stands
+/// still. It goes ahead with the wall clock where that jumps forward, whether for a suspension or
+/// because it was set; it never goes back. It has to be read often, since a wall clock that is set
+/// back between two readings hides a suspension of that length.
+#[derive(Debug)]
+pub struct ElapsedClock {
+    steady: Clock,
+    /// The steady time and the wall-clock time in microseconds when it was last read.
+    last: Cell<(Time, u64)>,
+    /// The sum of the suspensions, in microseconds.
+    suspended_us: Cell<u64>,
+}
+
+impl ElapsedClock {
+    /// Creates a clock that agrees with a steady one until the first suspension.
+    pub fn new(steady: Clock) -> ElapsedClock {
+        let last = Cell::new((steady.now(), wall_us()));
+        ElapsedClock { steady, last, suspended_us: Cell::new(0) }
+    }
+
+    /// Returns the time since the steady clock was created, with suspensions.
+    pub fn now(&self) -> Time {
+        let (steady, wall_us) = (self.steady.now(), wall_us());
+        let (last, last_wall_us) = self.last.replace((steady, wall_us));
+        let ahead_us = wall_us.saturating_sub(last_wall_us).saturating_sub(steady.since(last));
+        if ahead_us >= SUSPENSION_US {
+            self.suspended_us.set(self.suspended_us.get() + ahead_us);
+        }
+        steady.after(self.suspended_us.get())
+    }
+}
+
 /// How far a start that another process gives may lie ahead of this VM's wall clock, in milliseconds: a
 /// year, since a VM's clock may be wrong for a while. Beyond it the value is no time.
 pub const MAX_AHEAD_MS: u64 = 365 * 86_400 * 1_000;
 
 /// Returns the wall-clock time in milliseconds since 1970, or 0 if the clock is set before that.
 pub fn wall_ms() -> u64 {
+    wall_us() / 1_000
+}
+
+fn wall_us() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
+    since.map_or(0, |since| since.as_micros() as u64)
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -2,4 +2,4 @@
 
 mod clock;
 
-pub use clock::{Clock, MAX_AHEAD_MS, wall_ms};
+pub use clock::{Clock, ElapsedClock, MAX_AHEAD_MS, wall_ms};
--- a/crates/sidecar/src/entry/mod.rs
+++ b/crates/sidecar/src/entry/mod.rs
@@ -5,9 +5,10 @@
 mod callers;
 mod estimates;
 mod pipeline;
+mod quota;
 mod read_ahead;
 mod responses;
 mod state;
 
 pub use callers::{CallerServer, bind};
-pub use state::Entry;
+pub use state::{Entry, EntryLimits};
--- a/crates/sidecar/src/entry/state.rs
+++ b/crates/sidecar/src/entry/state.rs
@@ -4,7 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use policy::{RetryBound, Shutdown, TokenBucket};
+use policy::{QuotaTolerance, RetryBound, Shutdown, TokenBucket};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use runtime::Clock;
@@ -13,6 +13,7 @@
 
 use crate::configuration::ActiveRuleset;
 use crate::entry::estimates::{RetryBudgets, RouteEstimates};
+use crate::entry::quota::Quotas;
 use crate::guard::Guard;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -22,6 +23,15 @@
 /// Limit on log lines about requests that were refused, failed or late.
 const NOTABLE_LINES_PER_S: f64 = 40.0;
 
+/// The limits of the settings that an entry keeps to.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryLimits {
+    /// The bound on retries.
+    pub retries: RetryBound,
+    /// The bound on requests over their quota. `None` where quotas do not count.
+    pub quota: Option<QuotaTolerance>,
+}
+
 /// The entry half of a node.
 #[derive(Debug)]
 pub struct Entry {
@@ -30,6 +40,7 @@
     pub(super) guard: Rc<Guard>,
     pub(super) peers: Rc<Peers>,
     pub(super) metrics: Rc<Metrics>,
+    pub(super) quotas: Rc<Quotas>,
     /// The service of this VM, sent to targets as the caller's service.
     pub(super) caller: Name,
     pub(super) rng: RefCell<SmallRng>,
@@ -55,19 +66,22 @@
         peers: Rc<Peers>,
         metrics: Rc<Metrics>,
         caller: Name,
-        retry_bound: RetryBound,
+        limits: EntryLimits,
     ) -> Rc<Entry> {
+        let EntryLimits { retries, quota } = limits;
+        let quotas = Quotas::spawn(peers.clone(), ruleset.clone(), metrics.clone(), quota);
         Rc::new(Entry {
             clock,
             ruleset,
             guard,
             peers,
             metrics,
+            quotas,
             caller,
             rng: RefCell::new(SmallRng::from_os_rng()),
             estimates: RefCell::default(),
             budgets: RefCell::default(),
-            retry_bound: Cell::new(retry_bound),
+            retry_bound: Cell::new(retries),
             routine_lines: RefCell::new(TokenBucket::new(ROUTINE_LINES_PER_S, ROUTINE_LINES_PER_S)),
             notable_lines: RefCell::new(TokenBucket::new(NOTABLE_LINES_PER_S, NOTABLE_LINES_PER_S)),
             shutdown: watch::Sender::new(None),
@@ -76,9 +90,10 @@
         })
     }
 
-    /// Replaces the bound on retries after the settings changed.
-    pub fn set_retry_bound(&self, bound: RetryBound) {
-        self.retry_bound.set(bound);
+    /// Replaces the limits after the settings changed.
+    pub fn set_limits(&self, limits: EntryLimits) {
+        self.retry_bound.set(limits.retries);
+        self.quotas.set_bounds(limits.quota);
     }
 
     /// Begins to drain: each connection is closed after its next response, the node is not ready,
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -45,6 +45,12 @@
     pub links_opened: Counter,
     /// Log lines about requests that were dropped because of the limit per second.
     pub dropped_lines: Counter,
+    /// Tokens that this node gave out as a keeper of quotas.
+    pub quota_granted: Counter,
+    /// Requests that were refused because their workspaces had sent more than they may.
+    pub quota_refused: Counter,
+    /// Questions for tokens that were not answered in time.
+    pub quota_silent: Counter,
     /// The revision of the ruleset in force.
     revision: Gauge<u64, AtomicU64>,
     /// The newest revision that the node has heard of.
@@ -87,6 +93,9 @@
             repeats: counter("repeats", "Attempts beyond the first of a request"),
             links_opened: counter("links", "Links to other nodes that were opened"),
             dropped_lines: counter("log_lines_dropped", "Log lines left out"),
+            quota_granted: counter("quota_tokens", "Tokens given out as a keeper of quotas"),
+            quota_refused: counter("quota_refused", "Requests refused over their quota"),
+            quota_silent: counter("quota_silent", "Questions for tokens without an answer"),
             revision,
             heard_revision,
             ruleset_wait,
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use policy::{TargetView, Time};
+use policy::{Keeper, TargetView, Time};
 use quinn::{ClientConfig, Endpoint, EndpointConfig, TokioRuntime};
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use runtime::Clock;
+use runtime::{Clock, ElapsedClock};
 use wire::link::{Frame, Hello, Node, Reply};
 use wire::tls::{self, Identity, SERVER_NAME, Timing, Trust};
 use world::Name;
@@ -74,7 +74,7 @@
     pub(super) directory: Directory,
     pub(super) guard: Rc<Guard>,
     pub(super) rules: Rc<ActiveRuleset>,
-    metrics: Rc<Metrics>,
+    pub(super) metrics: Rc<Metrics>,
     /// The load and the results of the target on this VM, as for those of the peers.
     pub own_view: RefCell<TargetView>,
     pub(super) membership: Membership,
@@ -88,6 +88,10 @@
     pub(super) read_after: Cell<Time>,
     /// Whether this node tries to watch the operator's table.
     pub(super) tries_watch: Cell<bool>,
+    /// The time of the quotas.
+    pub(super) elapsed: ElapsedClock,
+    /// This node as a keeper of quotas. `None` without bounds in the settings.
+    pub(super) keeper: RefCell<Option<Keeper>>,
 }
 
 impl Peers {
@@ -126,6 +130,8 @@
             fetching: Cell::new(false),
             read_after: Cell::new(Time::NEVER),
             tries_watch: Cell::new(false),
+            elapsed: ElapsedClock::new(clock),
+            keeper: RefCell::default(),
         });
         tokio::task::spawn_local(serve::accept(peers.clone(), peers.endpoint.clone()));
         tokio::task::spawn_local(peers.clone().send_reports());
@@ -373,6 +379,11 @@
     pub fn now(&self) -> Time {
         self.clock.now()
     }
+
+    /// Returns the time since this process started, with suspensions of the VM.
+    pub fn elapsed(&self) -> Time {
+        self.elapsed.now()
+    }
 }
 
 /// Counts one attempt in [`Peers::serving`] until it is dropped.
--- a/crates/sidecar/src/peers/membership.rs
+++ b/crates/sidecar/src/peers/membership.rs
@@ -84,12 +84,17 @@
     /// Returns the most members that were up at once, or a number too high while the list may be
     /// incomplete.
     pub(super) fn fleet(&self) -> usize {
-        match self.syncs.get() > 0 || self.alone.get() {
+        match self.is_complete() {
             true => self.peak.get(),
             false => self.peak.get().max(UNKNOWN_FLEET),
         }
     }
 
+    /// Returns whether the list was compared with a peer's, or there is none.
+    pub(super) fn is_complete(&self) -> bool {
+        self.syncs.get() > 0 || self.alone.get()
+    }
+
     /// Records that the store lists no other node.
     pub(super) fn set_alone(&self) {
         self.alone.set(true);
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod links;
 mod membership;
+mod quota;
 mod registry;
 mod reports;
 mod selection;
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -110,8 +110,11 @@
             let rules = peers.rules.current();
             Reply::Rules(rules.map(|rules| Box::new((*rules).clone())))
         }
-        // No node counts the requests of workspaces or coordinates roll-outs yet.
-        Frame::Tokens(_) => Reply::Tokens(Box::default()),
+        Frame::Tokens(ask) => {
+            peer.last_used.set(peers.now());
+            Reply::Tokens(Box::new(peers.answer_tokens(&peer.node().name, &ask)))
+        }
+        // No node coordinates roll-outs yet.
         Frame::Evidence(_) => Reply::Exposure(None),
         Frame::FetchNodes => Reply::Nodes(peers.nodes()),
         Frame::Sync(summary) => peers.differing_members(&summary),
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -9,7 +9,7 @@
 use gumdrop::Options;
 use platform::settings::{self, FILE_VARIABLE, Settings};
 use platform::store::StoreClient;
-use policy::{RetryBound, Shutdown};
+use policy::{QuotaTolerance, RetryBound, Shutdown};
 use runtime::{Clock, wall_ms};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -18,7 +18,7 @@
 use world::Code;
 
 use crate::configuration::{self, ActiveRuleset};
-use crate::entry::{self, CallerServer, Entry};
+use crate::entry::{self, CallerServer, Entry, EntryLimits};
 use crate::guard::{self, BodyMemory, Guard, VmNames};
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
@@ -173,7 +173,7 @@
         peers.clone(),
         metrics.clone(),
         settings.service.clone(),
-        retry_bound(settings),
+        entry_limits(settings),
     );
     let store = StoreClient::new(settings.store_address);
     let watcher = peers.clone();
@@ -202,13 +202,25 @@
     Ok(RunningNode { clock, grace_us, entry, guard, peers, callers })
 }
 
-fn retry_bound(settings: &Settings) -> RetryBound {
+fn entry_limits(settings: &Settings) -> EntryLimits {
     let retries = settings.retries;
-    RetryBound { ratio: retries.ratio, slack: retries.slack, window_us: retries.window_us }
+    let quota = settings.quota.map(|bounds| QuotaTolerance {
+        window_us: bounds.window_us,
+        overage: bounds.overage,
+        slack: bounds.slack,
+    });
+    EntryLimits {
+        retries: RetryBound {
+            ratio: retries.ratio,
+            slack: retries.slack,
+            window_us: retries.window_us,
+        },
+        quota,
+    }
 }
 
 /// Reloads the settings at each hangup signal and whenever the file has changed. Only the limits on
-/// retries and on cold targets and the grace period take effect; the rest needs a restart.
+/// retries, on cold targets and on quotas and the grace period take effect; the rest needs a restart.
 async fn reload(
     entry: Rc<Entry>,
     guard: Rc<Guard>,
@@ -229,7 +241,7 @@
         last_modified = now;
         match read_settings(&file) {
             Ok(settings) => {
-                entry.set_retry_bound(retry_bound(&settings));
+                entry.set_limits(entry_limits(&settings));
                 guard.set_warmup_limits(settings.warmup);
                 grace_us.set(settings.grace_us);
                 tracing::info!(asked, "settings: reloaded");
@@ -256,6 +268,7 @@
     );
     entry.drain(shutdown);
     guard.announce_drain();
+    peers.close_keeper();
     peers.leave();
     tokio::time::sleep(DRAIN_NOTICE).await;
     guard.drain();
