--- a/crates/sidecar/src/entry/mod.rs
+++ b/crates/sidecar/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod callers;
 mod estimates;
+mod keys;
 mod pipeline;
 mod quota;
 mod read_ahead;
