Quotas: each request of a workspace takes a token

Cause: requests of a workspace were served whatever its limit. Change: the entry refuses with 429 by the head alone where the workspace is known to be at its limit, and takes a token before the first attempt; the token goes back if no target runs the request; repeats are paid for by the next tokens.

--- a/crates/policy/src/quota/allowance.rs
+++ b/crates/policy/src/quota/allowance.rs
@@ -15,6 +15,8 @@
 const RATE_US: f64 = 200_000.0;
 /// Requests that may be missing at the averaged rate before it counts as fallen.
 const MISSING: f64 = 2.0;
+/// The most repeats that are paid for later.
+const MAX_OWED: u32 = 100;
 /// The most tokens that are asked for at once.
 const MAX_WANTED: u32 = 10_000;
 
@@ -29,6 +31,8 @@
     rate: f64,
     /// When the last request arrived.
     pub(super) used: Time,
+    /// Repeats of requests that the next tokens pay for.
+    owed: u32,
     /// Requests that wait for tokens which were not asked for yet.
     missing: u32,
     /// Tokens in the question that is open.
@@ -57,6 +61,7 @@
             held: VecDeque::new(),
             rate: 0.0,
             used: Time::default(),
+            owed: 0,
             missing: 0,
             asked: 0,
             dry_until: Time::default(),
@@ -72,8 +77,15 @@
         self.used = now;
     }
 
-    /// Takes a token, and returns when it expires.
+    /// Takes a token, after those for repeats, and returns when it expires.
     pub(super) fn take(&mut self, now: Time) -> Option<Time> {
+        while self.owed > 0 && self.take_first(now).is_some() {
+            self.owed -= 1;
+        }
+        self.take_first(now)
+    }
+
+    fn take_first(&mut self, now: Time) -> Option<Time> {
         self.expire(now);
         let first = self.held.front_mut()?;
         first.tokens -= 1;
@@ -84,6 +96,16 @@
         Some(expires)
     }
 
+    /// Counts a repeat of a request.
+    pub(super) fn charge(&mut self) {
+        self.owed = (self.owed + 1).min(MAX_OWED);
+    }
+
+    /// Takes the count of a repeat back.
+    pub(super) fn refund(&mut self) {
+        self.owed = self.owed.saturating_sub(1);
+    }
+
     /// Returns whether it holds a token.
     pub(super) fn has_tokens(&self, now: Time) -> bool {
         self.count_held(now) > 0
@@ -118,7 +140,7 @@
         let ahead = self.ahead(now);
         let returned = self.take_stale(now, ahead);
         let held = self.count_held(now);
-        let wanted = (self.missing + ahead.saturating_sub(held)).min(MAX_WANTED);
+        let wanted = (self.missing + (ahead + self.owed).saturating_sub(held)).min(MAX_WANTED);
         (self.missing, self.asked) = (0, wanted);
         let (workspace, quota) = (self.workspace.clone(), self.quota);
         (wanted > 0 || returned > 0).then_some(TokenRequest { workspace, quota, wanted, returned })
--- a/crates/policy/src/quota/client.rs
+++ b/crates/policy/src/quota/client.rs
@@ -149,11 +149,24 @@
 
     /// Takes back the token of a request that was not sent to a target.
     pub fn give_back(&mut self, now: Time, token: &QuotaToken) {
-        let known = self.allowances.binary_search_by(|known| known.workspace.cmp(&token.workspace));
-        if let Ok(at) = known
+        if let Some(allowance) = self.find(&token.workspace)
             && token.expires > now
         {
-            self.allowances[at].put_back(token.expires);
+            allowance.put_back(token.expires);
+        }
+    }
+
+    /// Counts a request that is sent to a further target, which the next tokens pay for.
+    pub fn charge(&mut self, workspace: &Name) {
+        if let Some(allowance) = self.find(workspace) {
+            allowance.charge();
+        }
+    }
+
+    /// Takes a charge back.
+    pub fn refund(&mut self, workspace: &Name) {
+        if let Some(allowance) = self.find(workspace) {
+            allowance.refund();
         }
     }
 
@@ -213,16 +226,14 @@
         self.allowances.iter().filter(move |known| slot_of(&known.workspace, slots) == at)
     }
 
-    /// Handles the answer of a node to a question that was sent at `sent`. Returns whether the
-    /// question is still open.
+    /// Handles the answer of a node to a question that was sent at `sent`.
     pub fn answered(&mut self, now: Time, sent: Time, outgoing: &OutgoingAsk, reply: &TokenReply) {
         if let Some(ballot) = self.slot_ballot(outgoing.ask.slot) {
             ballot.answered(now, &outgoing.to, reply);
         }
         for grant in &reply.grants {
-            let find = |known: &Allowance| known.workspace.cmp(&grant.workspace);
-            if let Ok(at) = self.allowances.binary_search_by(find) {
-                self.allowances[at].grant(now, sent, grant);
+            if let Some(allowance) = self.find(&grant.workspace) {
+                allowance.grant(now, sent, grant);
             }
         }
     }
@@ -257,6 +268,11 @@
         self.ballots.get(slot_of(workspace, self.ballots.len()))
     }
 
+    fn find(&mut self, workspace: &Name) -> Option<&mut Allowance> {
+        let at = self.allowances.binary_search_by(|known| known.workspace.cmp(workspace)).ok()?;
+        Some(&mut self.allowances[at])
+    }
+
     fn allowance(&mut self, workspace: &Name, quota: Quota) -> &mut Allowance {
         let find = |known: &Allowance| known.workspace.cmp(workspace);
         let at = match self.allowances.binary_search_by(find) {
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -8,7 +8,7 @@
 use http::header::HeaderValue;
 use http::request::Parts;
 use platform::headers;
-use policy::{Candidate, Refusal, Time, choose};
+use policy::{Candidate, QuotaToken, Refusal, Time, choose};
 use rand::Rng;
 use wire::Field;
 use wire::link::Attempt;
@@ -47,6 +47,8 @@
     route: RouteRule,
     /// The workspace of its key. `None` where it needs none.
     workspace: Option<KeyHolder>,
+    /// The permission of its workspace's quota. `None` where none is needed.
+    token: Option<QuotaToken>,
     service: Name,
     method: String,
     path: String,
@@ -118,6 +120,7 @@
             route: route.clone(),
             fields: keys::fields(head, workspace.as_ref(), &ruleset),
             workspace,
+            token: None,
             method: head.method.as_str().to_owned(),
             path: path.to_owned(),
             body,
@@ -137,8 +140,13 @@
             () = self.peers.use_service(&request.service) => {}
             () = self.start_passed(request.slow_work_us()) => {}
         }
+        request.token = match self.take_token(request.workspace.as_ref()).await {
+            Ok(token) => token,
+            Err(wait) => return self.refuse_quota(wait, request.workspace.as_ref(), head),
+        };
         // The key may have been withdrawn meanwhile.
         if let Err(refused) = self.confirm_key(request.workspace.as_ref()) {
+            self.give_back(request.token.as_ref());
             return self.refuse_key(refused, head);
         }
         self.budgets
@@ -146,6 +154,9 @@
             .value_mut(&request.service)
             .record_request(arrived, &self.retry_bound.get());
         let answer = request.run().await;
+        if answer.is_none() && request.failure.is_none() && !request.outcome_unknown {
+            self.give_back(request.token.as_ref());
+        }
         request.finish(answer, id)
     }
 
@@ -292,6 +303,7 @@
         let taken = budgets.value_mut(&self.service).take(now, &bound, self.entry.peers.fleet());
         if taken {
             self.entry.metrics.repeats.inc();
+            self.entry.charge_repeat(self.token.as_ref());
         }
         taken
     }
@@ -461,6 +473,7 @@
                         let (now, bound) = (self.entry.clock.now(), self.entry.retry_bound.get());
                         let mut budgets = self.entry.budgets.borrow_mut();
                         budgets.value_mut(&self.service).refund(now, &bound);
+                        self.entry.refund_repeat(self.token.as_ref());
                         None
                     }
                 }
--- a/crates/sidecar/src/entry/callers.rs
+++ b/crates/sidecar/src/entry/callers.rs
@@ -228,8 +228,7 @@
     let _pending = entry.track_request();
     let arrived = entry.clock.now();
     let (head, body) = request.into_parts();
-    if let Err(refused) = entry.check_key(&head) {
-        let response = entry.refuse_key(refused, &head);
+    if let Some(response) = refuse_early(entry, &head) {
         // The rest of the body is not read.
         return if body.is_end_stream() { response } else { with_close(response) };
     }
@@ -261,6 +260,15 @@
     entry.serve(&head, body, arrived).await
 }
 
+/// Returns the response to a request that is refused by its head alone: without a valid key, or over
+/// the quota of its workspace.
+fn refuse_early(entry: &Rc<Entry>, head: &Parts) -> Option<CallerResponse> {
+    match entry.check_key(head) {
+        Ok(holder) => entry.refuse_known(holder.as_ref(), head),
+        Err(refused) => Some(entry.refuse_key(refused, head)),
+    }
+}
+
 /// Returns how long the caller will wait, from its `x-timeout-ms` header. None if it does not say
 /// or the value is not a number of at least 0.
 pub fn caller_timeout_us(headers: &HeaderMap) -> Option<u64> {
--- a/crates/sidecar/src/entry/keys.rs
+++ b/crates/sidecar/src/entry/keys.rs
@@ -20,7 +20,6 @@
     /// The workspace's name.
     pub name: Name,
     /// The limit of its requests. `None` for no limit.
-    #[expect(dead_code, reason = "read by the quotas of workspaces")]
     pub quota: Option<Quota>,
     /// Its rank, before that of the route. `None` if the route's counts alone.
     pub priority: Option<u16>,
@@ -53,11 +52,12 @@
 
 impl Entry {
     /// Refuses a request whose route needs a key that its head does not have, before its body is
-    /// read. A request without a route is refused when it is served.
-    pub(super) fn check_key(&self, head: &Parts) -> Result<(), Refused> {
-        let Some(ruleset) = self.ruleset.current() else { return Ok(()) };
+    /// read. A request without a route is refused when it is served. Returns the workspace of the
+    /// key.
+    pub(super) fn check_key(&self, head: &Parts) -> Result<Option<KeyHolder>, Refused> {
+        let Some(ruleset) = self.ruleset.current() else { return Ok(None) };
         let found = host(head).and_then(|host| ruleset.routing.route(host, head.uri.path()));
-        found.map_or(Ok(()), |route| self.admit_key(head, route, &ruleset).map(|_| ()))
+        found.map_or(Ok(None), |route| self.admit_key(head, route, &ruleset))
     }
 
     /// Returns the workspace of a request's key. `None` where requests need no key.
--- a/crates/sidecar/src/entry/quota.rs
+++ b/crates/sidecar/src/entry/quota.rs
@@ -4,14 +4,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::StatusCode;
+use http::request::Parts;
+use platform::headers;
 use policy::{
     OutgoingAsk, QuotaAdmission, QuotaClient, QuotaToken, QuotaTolerance, Time, TokenBucket,
 };
 use rand::Rng;
 use tokio::sync::Notify;
-use world::{Name, Quota};
+use world::{Code, Name, Quota};
 
 use crate::configuration::ActiveRuleset;
+use crate::entry::keys::KeyHolder;
+use crate::entry::responses::{CallerResponse, error_response, set_retry_after};
+use crate::entry::state::Entry;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 
@@ -131,6 +137,17 @@
         self.with_client(|client| client.give_back(now, token));
     }
 
+    /// Counts a request that is sent to a further target. The next token of the workspace pays for
+    /// it.
+    pub fn charge(&self, workspace: &Name) {
+        self.with_client(|client| client.charge(workspace));
+    }
+
+    /// Takes the charge for a request back that the further target was not sent.
+    pub fn refund(&self, workspace: &Name) {
+        self.with_client(|client| client.refund(workspace));
+    }
+
     fn with_client<T>(&self, action: impl FnOnce(&mut QuotaClient) -> T) -> Option<T> {
         self.client.borrow_mut().as_mut().map(action)
     }
@@ -209,3 +226,65 @@
         }
     }
 }
+
+impl Entry {
+    /// Takes a token for a request. `None` where its workspace has no quota.
+    pub(super) async fn take_token(
+        &self,
+        holder: Option<&KeyHolder>,
+    ) -> Result<Option<QuotaToken>, Wait> {
+        match holder.and_then(|holder| Some((&holder.name, holder.quota?))) {
+            Some((workspace, quota)) => self.quotas.admit(workspace, quota).await,
+            None => Ok(None),
+        }
+    }
+
+    /// Takes back the token of a request that no target runs.
+    pub(super) fn give_back(&self, token: Option<&QuotaToken>) {
+        if let Some(token) = token {
+            self.quotas.give_back(token);
+        }
+    }
+
+    /// Counts a repeat of a request against the quota of its workspace.
+    pub(super) fn charge_repeat(&self, token: Option<&QuotaToken>) {
+        if let Some(token) = token {
+            self.quotas.charge(&token.workspace);
+        }
+    }
+
+    /// Takes back the charge for a repeat that no target runs.
+    pub(super) fn refund_repeat(&self, token: Option<&QuotaToken>) {
+        if let Some(token) = token {
+            self.quotas.refund(&token.workspace);
+        }
+    }
+
+    /// Returns the refusal of a request whose workspace is known to be at its limit.
+    pub(super) fn refuse_known(
+        &self,
+        holder: Option<&KeyHolder>,
+        head: &Parts,
+    ) -> Option<CallerResponse> {
+        let (workspace, quota) = holder.and_then(|holder| Some((&holder.name, holder.quota?)))?;
+        let wait = self.quotas.check(workspace, quota).err()?;
+        Some(self.refuse_quota(wait, holder, head))
+    }
+
+    /// Builds the response to a request over its workspace's quota.
+    pub(super) fn refuse_quota(
+        &self,
+        wait: Wait,
+        holder: Option<&KeyHolder>,
+        head: &Parts,
+    ) -> CallerResponse {
+        if let Some(holder) = holder {
+            self.metrics.record_workspace(&holder.name, "refused");
+        }
+        let id = head.headers.get(headers::REQUEST_ID);
+        let code = Code::QuotaExceeded;
+        let mut response = error_response(code, StatusCode::TOO_MANY_REQUESTS, id);
+        set_retry_after(&mut response, wait.seconds);
+        response
+    }
+}
--- a/crates/sidecar/src/entry/responses.rs
+++ b/crates/sidecar/src/entry/responses.rs
@@ -44,11 +44,15 @@
     }
     if status == StatusCode::SERVICE_UNAVAILABLE {
         let (least, most) = RETRY_AFTER_S;
-        let seconds = rand::rng().random_range(least..most);
-        // Digits and a point are valid in a header.
-        if let Ok(value) = HeaderValue::try_from(format!("{seconds:.3}")) {
-            own.insert(header::RETRY_AFTER, value);
-        }
+        set_retry_after(&mut response, rand::rng().random_range(least..most));
     }
     response
 }
+
+/// Tells the caller after how many seconds to send the request again.
+pub fn set_retry_after(response: &mut CallerResponse, seconds: f64) {
+    // Digits and a point are valid in a header.
+    if let Ok(value) = HeaderValue::try_from(format!("{seconds:.3}")) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+}
