--- a/crates/sidecar/src/entry/mod.rs
+++ b/crates/sidecar/src/entry/mod.rs
@@ -6,9 +6,10 @@
 mod estimates;
 mod keys;
 mod pipeline;
+mod quota;
 mod read_ahead;
 mod responses;
 mod state;
 
 pub use callers::{CallerServer, bind};
-pub use state::Entry;
+pub use state::{Entry, EntryLimits};
