Rulesets: one read of the table where only earlier versions have a newer one

Cause: peers of earlier versions do not know FetchRules and close the stream; a node that the store does not serve would wait for them. Change: where a peer with a newer revision closes the stream and the link stays open, the node reads the operator's table once for that revision, after up to 0.4 s, unless a peer sends the ruleset before.

--- a/crates/sidecar/src/configuration/active.rs
+++ b/crates/sidecar/src/configuration/active.rs
@@ -98,6 +98,11 @@
         true
     }
 
+    /// Returns when the store last answered this node's watch; its start if it never did.
+    pub fn answered_at(&self) -> Time {
+        self.answered_at.get()
+    }
+
     /// Returns whether this node receives changes of the operator's table from the store at the
     /// moment.
     pub fn is_watching(&self) -> bool {
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -19,6 +19,7 @@
 use crate::guard::Guard;
 use crate::metrics::Metrics;
 use crate::peers::directory::{Directory, Link, Peer};
+use crate::peers::exchange::Error;
 use crate::peers::membership::{Membership, node_of};
 use crate::peers::serve;
 
@@ -50,6 +51,10 @@
 /// between data centres and the time to send some hundred kilobytes.
 const FETCH_STEP: Duration = Duration::from_millis(150);
 
+/// The longest random wait before a node reads the operator's table because peers of earlier versions
+/// cannot send theirs, in microseconds.
+const READ_SPREAD_US: u64 = 400_000;
+
 /// What the links need to know of this node.
 #[derive(Clone, Debug)]
 pub struct PeerSettings {
@@ -86,6 +91,10 @@
     fetching: Cell<bool>,
     /// When a node without a ruleset reads the operator's table itself; set when it has joined.
     pub(super) read_after: Cell<Time>,
+    /// When this node reads the table once, for a ruleset that no peer can send.
+    pub(super) read_at: Cell<Time>,
+    /// The newest revision for which that was planned, so that it is read once for each.
+    pub(super) read_for: Cell<u64>,
     /// Whether this node tries to watch the operator's table.
     pub(super) tries_watch: Cell<bool>,
 }
@@ -125,6 +134,8 @@
             serving: Cell::new(0),
             fetching: Cell::new(false),
             read_after: Cell::new(Time::NEVER),
+            read_at: Cell::new(Time::NEVER),
+            read_for: Cell::new(0),
             tries_watch: Cell::new(false),
         });
         tokio::task::spawn_local(serve::accept(peers.clone(), peers.endpoint.clone()));
@@ -362,7 +373,23 @@
                 self.rules.update(*ruleset, &name);
             }
             Ok(_) => tracing::warn!(peer = &*name, "config: the reply is no ruleset"),
-            Err(error) => tracing::info!(peer = &*name, %error, "config: cannot fetch a ruleset"),
+            Err(error) => {
+                tracing::info!(peer = &*name, %error, "config: cannot fetch a ruleset");
+                // A peer of an earlier version closes the stream, and the link stays open.
+                if matches!(error, Error::Broken { .. }) && peer.link().is_some() {
+                    self.plan_read(peer.revision());
+                }
+            }
+        }
+    }
+
+    /// Plans to read the operator's table once for a revision that a peer cannot send, unless
+    /// another one sends it before.
+    fn plan_read(&self, revision: u64) {
+        if revision > self.read_for.get() {
+            self.read_for.set(revision);
+            let wait_us = rand::rng().random_range(0..READ_SPREAD_US);
+            self.read_at.set(self.clock.now().after(wait_us));
         }
     }
 
--- a/crates/sidecar/src/peers/membership.rs
+++ b/crates/sidecar/src/peers/membership.rs
@@ -309,6 +309,9 @@
             self.tries_watch.set(true);
             return true;
         }
+        if self.must_read(now) {
+            return true;
+        }
         let rank = self.live_rank(now);
         let data_centres = self.membership.members.borrow().data_centres();
         let mut watchers = self.membership.watchers.borrow_mut();
@@ -322,6 +325,20 @@
         tries
     }
 
+    /// Returns whether this node still has to read the table once for a revision that no peer sent.
+    fn must_read(&self, now: Time) -> bool {
+        let planned = self.read_at.get();
+        if now < planned {
+            return false;
+        }
+        let is_done =
+            self.rules.revision() >= self.read_for.get() || self.rules.answered_at() >= planned;
+        if is_done {
+            self.read_at.set(Time::NEVER);
+        }
+        !is_done
+    }
+
     /// Returns how many nodes of the data centre that were heard from recently sort before this one
     /// by name. The member list takes seconds to find that a node is dead.
     fn live_rank(&self, now: Time) -> usize {
--- a/crates/sidecar/tests/rulesets.rs
+++ b/crates/sidecar/tests/rulesets.rs
@@ -66,3 +66,24 @@
     let known = eventually(IN_FORCE_LIMIT, async || deployment.is_current(2).await).await;
     assert!(known, "after {:?}", acknowledged.elapsed());
 }
+
+// Guards against a node that waits for a ruleset with workspaces from peers of an earlier version, and
+// against many reads of the table for one revision.
+#[tokio::test]
+async fn a_ruleset_that_only_earlier_versions_have_is_read_from_the_store_once() {
+    let mut deployment = Deployment::prepare(NODE, &[("dc-1", "a"); 3]).await;
+    deployment.start_nodes().await;
+    let store = &deployment.vms[2].store_endpoint;
+    let calls = store.call_count();
+    let address = SocketAddr::new(deployment.vms[2].ip, 7600);
+    let (_endpoint, peer) = link_silent_peer(address, "x-1", 1_000_000).await;
+    let closing = tokio::spawn(async move {
+        // Earlier versions drop a stream whose first frame they cannot decode.
+        while peer.accept_bi().await.is_ok() {}
+    });
+    let is_read = eventually(IN_FORCE_LIMIT, async || store.call_count() > calls).await;
+    assert!(is_read, "the table was not read");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(store.call_count() <= calls + 2, "{} reads", store.call_count() - calls);
+    closing.abort();
+}
