A store that comes back older: eras order revisions, and what was lost stays

Cause: in a drill the store comes back from a copy some seconds old, gives versions out again and answers 410 to reads from one that it does not have. Revisions were compared by version alone, so that nodes ignored what was written again, and rows of nodes were lost. Watchers drop the state of another era and read the table anew, with pauses from the second 410 in a row on. Each node writes its row of the registry again, spread. A node that starts and reads the copy asks two peers for their rulesets.

--- a/crates/sidecar/src/configuration/active.rs
+++ b/crates/sidecar/src/configuration/active.rs
@@ -3,17 +3,23 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use policy::Time;
+use policy::{EraMerge, Time};
 use runtime::Clock;
 use tokio::sync::watch;
-use world::Ruleset;
+use world::{Revision, Ruleset};
 
 use crate::metrics::Metrics;
 
-/// The ruleset in force. It is only ever replaced by a newer one.
+/// Peers whose rulesets a node asks for that may have read an older copy of the table.
+const CONFIRMATIONS: u32 = 2;
+
+/// The ruleset in force. Its revision and the version of its routes never go back.
 #[derive(Debug)]
 pub struct ActiveRuleset {
     current: RefCell<Option<Rc<Ruleset>>>,
+    merge: RefCell<EraMerge>,
+    /// Peers that are still to be asked for what the store may have lost.
+    unconfirmed: Cell<u32>,
     revision: watch::Sender<u64>,
     /// Whether this node receives changes of the operator's table from the store at the moment.
     watching: watch::Sender<bool>,
@@ -33,6 +39,8 @@
         let (watching, _) = watch::channel(false);
         ActiveRuleset {
             current: RefCell::default(),
+            merge: RefCell::default(),
+            unconfirmed: Cell::new(0),
             revision,
             watching,
             heard: Cell::default(),
@@ -65,23 +73,67 @@
         }
     }
 
-    /// Replaces the ruleset if the given one is newer, and returns whether it was. `source` is
-    /// logged: the store, or the peer that sent the ruleset.
-    pub fn update(&self, ruleset: Ruleset, source: &str) -> bool {
-        let newer = match &*self.current.borrow() {
-            Some(known) => {
-                ruleset.revision > known.revision
-                    && ruleset.routing.version >= known.routing.version
-            }
-            None => true,
-        };
-        if !newer {
-            return false;
+    /// Replaces the ruleset by one that was read from the store, if that is newer. A node that has
+    /// just started cannot tell whether the store lost something.
+    pub fn update_from_store(&self, ruleset: Ruleset) {
+        if self.current.borrow().is_none() && Revision::from(ruleset.revision).era() > 0 {
+            self.unconfirmed.set(CONFIRMATIONS);
+        }
+        self.update(ruleset, "store");
+    }
+
+    /// Replaces the ruleset if the given one is newer. `source` is logged: the store, or the peer
+    /// that sent the ruleset.
+    pub fn update(&self, ruleset: Ruleset, source: &str) {
+        self.replace(source, |merge, now, known| match known {
+            Some(known) => merge.merge(now, known, ruleset),
+            None => Some(ruleset),
+        });
+    }
+
+    /// Returns whether a peer is to be asked for what the store may have lost before this node
+    /// started, and counts it as asked.
+    pub fn take_confirmation(&self) -> bool {
+        let left = self.unconfirmed.get();
+        self.unconfirmed.set(left.saturating_sub(1));
+        left > 0
+    }
+
+    /// Adds what a peer has in force that the store lost before this node started.
+    pub fn confirm(&self, ruleset: Ruleset, source: &str) {
+        if ruleset.revision > self.revision() {
+            return self.update(ruleset, source);
+        }
+        self.replace(source, |merge, now, known| {
+            let known = known?;
+            let confirmed = merge.confirm(now, known, &ruleset);
+            (confirmed != *known).then_some(confirmed)
+        });
+    }
+
+    /// Puts the ruleset as the table has it in force once nothing of an earlier era is held any more.
+    pub fn expire_held(&self) {
+        self.replace("the end of a hold", |merge, now, known| merge.expire(now, known?));
+    }
+
+    /// Replaces the ruleset by what `next` returns from the one in force, if anything.
+    fn replace(
+        &self,
+        source: &str,
+        next: impl FnOnce(&mut EraMerge, Time, Option<&Ruleset>) -> Option<Ruleset>,
+    ) {
+        let now = self.clock.now();
+        let known = self.current();
+        let next = next(&mut self.merge.borrow_mut(), now, known.as_deref());
+        let Some(ruleset) = next else { return };
+        let era = Revision::from(ruleset.revision).era();
+        if known.is_some_and(|known| era > Revision::from(known.revision).era()) {
+            tracing::warn!(era, "config: the store came back from an older copy");
         }
         let (revision, version) = (ruleset.revision, ruleset.routing.version);
         self.record_heard(revision);
         let (heard, heard_at) = self.heard.get();
-        let waited_us = self.clock.now().since(heard_at);
+        let waited_us = now.since(heard_at);
         self.metrics.record_ruleset(revision, waited_us as f64 / 1e6);
         tracing::info!(
             revision,
@@ -95,7 +147,6 @@
         );
         *self.current.borrow_mut() = Some(Rc::new(ruleset));
         self.revision.send_replace(revision);
-        true
     }
 
     /// Returns when the store last answered this node's watch; its start if it never did.
--- a/crates/sidecar/src/configuration/watcher.rs
+++ b/crates/sidecar/src/configuration/watcher.rs
@@ -7,8 +7,9 @@
 
 use platform::operator::{self, OperatorRow};
 use platform::store::{Error, Row, Rows, StoreClient};
+use policy::reread_wait_us;
 use rand::Rng;
-use world::{Name, Rollout, Routing, Ruleset, set_out, set_rollout};
+use world::{Name, Revision, Rollout, Routing, Ruleset, set_out, set_rollout};
 
 use crate::configuration::ActiveRuleset;
 
@@ -38,7 +39,10 @@
     routing: Option<Routing>,
     out: Vec<Name>,
     rollouts: Vec<Rollout>,
-    revision: u64,
+    /// The store's version as of which it was read.
+    version: u64,
+    /// The store's era in which it was read.
+    era: u64,
 }
 
 impl TableState {
@@ -56,13 +60,15 @@
 
     fn apply(&mut self, rows: &Rows) {
         rows.rows.iter().for_each(|row| self.apply_row(row));
-        self.revision = self.revision.max(rows.version);
+        self.version = self.version.max(rows.version);
+        self.era = rows.era;
     }
 
     fn ruleset(&self) -> Option<Ruleset> {
         let routing = self.routing.clone()?;
         let (out, rollouts) = (self.out.clone(), self.rollouts.clone());
-        Some(Ruleset { revision: self.revision, routing, out, rollouts })
+        let revision = Revision::new(self.era, self.version).into();
+        Some(Ruleset { revision, routing, out, rollouts })
     }
 }
 
@@ -75,7 +81,9 @@
 ) {
     let mut retry = Retry::default();
     let mut table: Option<TableState> = None;
+    let mut rejected = 0;
     loop {
+        active.expire_held();
         if !should_watch() {
             active.stop_watching();
             table = None;
@@ -84,13 +92,21 @@
             continue;
         }
         match poll(&store, &active, &mut table, retry).await {
-            Ok(()) => {
+            Ok(is_whole) => {
                 retry = Retry::default();
+                rejected = if is_whole { rejected } else { 0 };
                 active.set_watching(true, "");
             }
-            Err(Error::Compacted) => {
-                tracing::info!("config: the store dropped its history, reading the whole table");
+            Err(Error::Compacted { era }) => {
+                tracing::info!(
+                    era,
+                    rejected,
+                    "config: the store dropped its history, reading the whole table"
+                );
                 table = None;
+                rejected += 1;
+                let wait_us = reread_wait_us(rejected, rand::rng().random());
+                tokio::time::sleep(Duration::from_micros(wait_us)).await;
             }
             Err(error) if retry.failures == 0 && active.is_watching() => {
                 tracing::info!(%error, "config: a poll of the store failed");
@@ -126,27 +142,34 @@
     }
 }
 
-/// Reads the whole table if nothing was read yet, else waits for its next changes.
+/// Reads the whole table if nothing was read yet, else waits for its next changes. Returns whether it
+/// read the whole table.
 async fn poll(
     store: &StoreClient,
     active: &ActiveRuleset,
     table: &mut Option<TableState>,
     retry: Retry,
-) -> Result<(), Error> {
+) -> Result<bool, Error> {
     // The first poll after a failure returns at once, so that the store's return is noticed.
     let is_first = retry.failures > 0 || !active.is_watching();
     let wait = if is_first { Duration::ZERO } else { LONG_POLL };
     let rows = match table {
         None => store.read(operator::TABLE).await?,
         Some(table) => {
-            let (after, patience) = (table.revision, retry.patience());
-            store.changes(operator::TABLE, after, wait, patience).await?
+            let (after, patience) = (table.version, retry.patience());
+            let rows = store.changes(operator::TABLE, after, wait, patience).await?;
+            if rows.era != table.era {
+                // Changes of one era do not follow the rows of another.
+                return Err(Error::Compacted { era: rows.era });
+            }
+            rows
         }
     };
+    let is_whole = table.is_none();
     let table = table.get_or_insert_default();
     table.apply(&rows);
     if let Some(ruleset) = table.ruleset().filter(|_| !rows.rows.is_empty()) {
-        active.update(ruleset, "store");
+        active.update_from_store(ruleset);
     }
-    Ok(())
+    Ok(is_whole)
 }
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -383,6 +383,16 @@
         }
     }
 
+    /// Asks a peer for what the store may have lost before this node started.
+    pub(super) async fn confirm_ruleset(self: Rc<Peers>, peer: Rc<Peer>) {
+        let name = peer.node().name;
+        match self.request(&peer, &Frame::FetchRules).await {
+            Ok(Reply::Rules(Some(ruleset))) => self.rules.confirm(*ruleset, &name),
+            Ok(_) => tracing::info!(peer = &*name, "config: a peer has no ruleset"),
+            Err(error) => tracing::info!(peer = &*name, %error, "config: cannot fetch a ruleset"),
+        }
+    }
+
     /// Plans to read the operator's table once for a revision that a peer cannot send, unless
     /// another one sends it before.
     fn plan_read(&self, revision: u64) {
--- a/crates/sidecar/src/peers/membership.rs
+++ b/crates/sidecar/src/peers/membership.rs
@@ -11,7 +11,7 @@
     VALID_US, Watcher, Watchers,
 };
 use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use tokio::sync::Notify;
 use wire::link::{Datagram, Frame, Node, Reply};
@@ -126,11 +126,23 @@
             self.act(actions);
         }
         self.update_own_watch(now);
+        self.confirm_rules();
         if self.rules.is_watching() {
             self.send_watchers(BEACON_PEERS);
         }
     }
 
+    /// Asks a linked peer that has a ruleset for what the store may have lost, if one is to be asked.
+    fn confirm_rules(self: &Rc<Peers>) {
+        let mut peers = self.directory.all();
+        peers.retain(|peer| peer.revision() > 0 && peer.link().is_some());
+        if let Some(peer) = peers.choose(&mut rand::rng())
+            && self.rules.take_confirmation()
+        {
+            tokio::task::spawn_local(self.clone().confirm_ruleset(peer.clone()));
+        }
+    }
+
     /// Records whether this node watches the operator's table, and tells the data centre if that
     /// changed.
     pub(super) fn update_own_watch(&self, now: Time) {
--- a/crates/sidecar/src/peers/registry.rs
+++ b/crates/sidecar/src/peers/registry.rs
@@ -11,11 +11,11 @@
 use std::time::Duration;
 
 use platform::store::{Error, Row, StoreClient};
-use policy::{Health, Member, Time, ruleset_wait_us};
+use policy::{Health, Member, Time, rewrite_wait_us, ruleset_wait_us};
 use rand::Rng;
 use runtime::{MAX_AHEAD_MS, wall_ms};
 use serde::Deserialize;
-use world::Name;
+use world::{Name, Revision};
 
 use crate::peers::links::Peers;
 
@@ -90,6 +90,7 @@
                 }
             }
         }
+        tokio::task::spawn_local(self.clone().keep_row(store));
         if let Err(error) = self.find_linked(&store).await {
             tracing::info!(%error, "registry: cannot read further rows");
         }
@@ -112,6 +113,45 @@
         }
     }
 
+    /// Writes the own row again whenever the store came back from a copy that may lack it, for as long
+    /// as the process runs.
+    async fn keep_row(self: Rc<Peers>, store: StoreClient) {
+        let mut revisions = self.rules.subscribe();
+        // The store's era; unknown until there is a ruleset.
+        let mut known = None;
+        loop {
+            let revision = *revisions.borrow_and_update();
+            if revision > 0 {
+                let era = Revision::from(revision).era();
+                if known.replace(era).is_some_and(|known| era > known) {
+                    self.rewrite_row(&store, era).await;
+                }
+            }
+            // An error means that the process is about to end.
+            if revisions.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Writes the own row some time after the start of an era, retrying until that succeeded.
+    async fn rewrite_row(&self, store: &StoreClient, era: u64) {
+        let mut wait = Duration::from_micros(rewrite_wait_us(self.fleet(), rand::rng().random()));
+        let mut pause = RETRY_PAUSE;
+        loop {
+            tokio::time::sleep(wait).await;
+            let own = self.membership.members.borrow().local_member().clone();
+            match write_row(store, &own).await {
+                Ok(()) => return tracing::info!(era, "registry: wrote the own row again"),
+                Err(error) => {
+                    tracing::info!(era, %error, "registry: cannot write the own row again");
+                    wait = pause.mul_f64(rand::rng().random_range(0.75..1.25));
+                    pause = (pause * 2).min(MAX_RETRY_PAUSE);
+                }
+            }
+        }
+    }
+
     /// Writes the own row if it has to be written, and reads rows of other nodes. Returns whether
     /// the node has joined; otherwise its row was missing or outdated.
     async fn step(
@@ -121,9 +161,7 @@
     ) -> Result<bool, Error> {
         let own = self.membership.members.borrow().local_member().clone();
         if matches!(*state, OwnRow::Absent | OwnRow::AbsentLast) {
-            let row = serde_json::to_vec(&own)
-                .map_err(|error| Error::Unavailable { detail: error.to_string() })?;
-            store.put(TABLE, &own.name, &row).await?;
+            write_row(store, &own).await?;
             *state = match *state {
                 OwnRow::AbsentLast => OwnRow::WrittenLast,
                 _ => OwnRow::Written,
@@ -193,6 +231,12 @@
     }
 }
 
+async fn write_row(store: &StoreClient, own: &Member) -> Result<(), Error> {
+    let row = serde_json::to_vec(own)
+        .map_err(|error| Error::Unavailable { detail: error.to_string() })?;
+    store.put(TABLE, &own.name, &row).await.map(|_| ())
+}
+
 /// Returns whether a row is of an earlier process of this node, reached at the same address.
 fn is_same_place(row: &Row, own: &Member) -> bool {
     let place = |member: &Member| (member.data_centre.clone(), member.address);
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -6,6 +6,7 @@
 mod inventory;
 mod key;
 mod parse;
+mod revision;
 mod routing;
 mod target;
 mod workspace;
@@ -15,6 +16,7 @@
 pub use inventory::{Class, Contract, DataCentre, Inventory, Link, Rule, Service, Vm};
 pub use key::Key;
 pub use parse::{Fault, parse};
+pub use revision::Revision;
 pub use routing::{
     CallerLimits, Part, Repeat, Rollout, RouteRule, Routing, Ruleset, ServiceRule, set_out,
     set_rollout,
--- a/crates/world/tests/routing.rs
+++ b/crates/world/tests/routing.rs
@@ -1,6 +1,6 @@
 //! Route lookup by host and prefix, weighted splits, and data centres out of service.
 
-use world::{CallerLimits, Part, Repeat, RouteRule, Routing, Ruleset, set_out};
+use world::{CallerLimits, Part, Repeat, Revision, RouteRule, Routing, Ruleset, set_out};
 
 fn route(host: &str, prefix: &str, parts: &[(&str, u32)]) -> RouteRule {
     let part =
@@ -74,3 +74,28 @@
     let ruleset = Ruleset { revision: 1, routing: routing(Vec::new()), out, rollouts: Vec::new() };
     assert_eq!(["a", "b", "c"].map(|name| ruleset.is_out(name)), [true, false, false]);
 }
+
+// Guards against a version that is compared with one of another era.
+#[test]
+fn revisions_are_ordered_by_era_and_then_by_version() {
+    struct Case {
+        era: u64,
+        version: u64,
+        packed: u64,
+    }
+    let cases = [
+        Case { era: 0, version: 0, packed: 0 },
+        Case { era: 0, version: 533, packed: 533 },
+        Case { era: 0, version: u64::MAX, packed: 0xffff_ffff_ffff },
+        Case { era: 1, version: 0, packed: 1 << 48 },
+        Case { era: 1, version: 7, packed: 1 << 48 | 7 },
+        Case { era: u64::MAX, version: u64::MAX, packed: u64::MAX },
+    ];
+    assert!(cases.is_sorted_by(|a, b| a.packed < b.packed));
+    for Case { era, version, packed } in cases {
+        let revision = Revision::new(era, version);
+        assert_eq!(u64::from(revision), packed);
+        let parts = (revision.era(), revision.version());
+        assert_eq!(parts, (era.min(0xffff), version.min(0xffff_ffff_ffff)));
+    }
+}
