--- a/crates/sidecar/src/peers/membership.rs
+++ b/crates/sidecar/src/peers/membership.rs
@@ -11,7 +11,7 @@
     VALID_US, Watcher, Watchers,
 };
 use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use tokio::sync::Notify;
 use wire::link::{Datagram, Frame, Node, Reply};
@@ -131,11 +131,23 @@
             self.act(actions);
         }
         self.update_own_watch(now);
+        self.confirm_rules();
         if self.rules.is_watching() {
             self.send_watchers(BEACON_PEERS);
         }
     }
 
+    /// Asks a linked peer that has a ruleset for what the store may have lost, if one is to be asked.
+    fn confirm_rules(self: &Rc<Peers>) {
+        let mut peers = self.directory.all();
+        peers.retain(|peer| peer.revision() > 0 && peer.link().is_some());
+        if let Some(peer) = peers.choose(&mut rand::rng())
+            && self.rules.take_confirmation()
+        {
+            tokio::task::spawn_local(self.clone().confirm_ruleset(peer.clone()));
+        }
+    }
+
     /// Records whether this node watches the operator's table, and tells the data centre if that
     /// changed.
     pub(super) fn update_own_watch(&self, now: Time) {
@@ -314,6 +326,9 @@
             self.tries_watch.set(true);
             return true;
         }
+        if self.must_read(now) {
+            return true;
+        }
         let rank = self.live_rank(now);
         let data_centres = self.membership.members.borrow().data_centres();
         let mut watchers = self.membership.watchers.borrow_mut();
@@ -327,6 +342,20 @@
         tries
     }
 
+    /// Returns whether this node still has to read the table once for a revision that no peer sent.
+    fn must_read(&self, now: Time) -> bool {
+        let planned = self.read_at.get();
+        if now < planned {
+            return false;
+        }
+        let is_done =
+            self.rules.revision() >= self.read_for.get() || self.rules.answered_at() >= planned;
+        if is_done {
+            self.read_at.set(Time::NEVER);
+        }
+        !is_done
+    }
+
     /// Returns how many nodes of the data centre that were heard from recently sort before this one
     /// by name. The member list takes seconds to find that a node is dead.
     fn live_rank(&self, now: Time) -> usize {
