Room at one target: order, the share of lower ranks, cold targets, hopeless waits

Cause: the queue of a guard ordered by (late, priority, aim) alone. A cold target's few requests went to the first comers, a request that more urgent ones had pushed back waited until two fifths of its time were gone, and nothing bounded how little lower ranks get. Change: policy::room orders one priority by the rule of Moore and Hodgson, gives lower priorities one start in eight while they get less than half of what higher ones get, and keeps a cold target's limit for what is more urgent. A wait that would need starts at twice the expected rate is refused at once. The slowness of a VM and the queue are modules of their own.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,32 +1,21 @@
 //! Admission control in front of one target: decides which requests run, wait or are refused.
 //!
-//! A VM shares its host with neighbours that slow it down for about a tenth of a second at a time.
-//! Its *slowness* is how many times longer work takes on it than usual. The target reports it in
-//! its answers and in health checks; a *probe* is a health check that is made to learn it.
+//! A target reports its VM's slowness in its answers and in health checks; a *probe* is a health
+//! check that is made to learn it.
+
+mod queue;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use self::queue::Waiting;
+use crate::room::{self, Reserve, Run, Turns, Urgency};
+use crate::slowness::Slowness;
 use crate::{Knee, NamedRate, Occupancy, Time, Warmth};
 
-/// A reported slowness is used for this long, in microseconds: neighbours keep a VM busy for about
-/// a tenth of a second at a time.
-const SLOWNESS_VALID_US: u64 = 100_000;
-/// Long work starts only if the slowness was reported within this time, in microseconds: few VMs
-/// change within a sixth of a neighbour's busy period.
-const SLOWNESS_FRESH_US: u64 = 25_000;
 /// Work that is expected to take less than this starts without a probe, in microseconds: what it
 /// can lose on a slow VM is less than a neighbour's busy period.
 const SHORT_WORK_US: u64 = 40_000;
-/// A VM that has been slow for this long is expected to stay slow, and work is no longer held back,
-/// in microseconds. It is four times a neighbour's busy period.
-const LASTING_SLOW_US: u64 = 600_000;
-/// After a probe that did not report the slowness, work starts without a probe for this long, in
-/// microseconds.
-const UNPROBED_US: u64 = 1_000_000;
-/// A VM is slow from this slowness on: requests go to another target that has room, and long work
-/// waits until the VM is fast again, because its duration is settled by the slowness at its start.
-const SLOW_RATIO: f64 = 2.0;
 /// Below this slowness a VM's neighbours are taken to be idle.
 const QUIET_RATIO: f64 = 1.5;
 /// Weight of one answer in the exponentially weighted average of the work time.
@@ -38,9 +27,6 @@
 const MAX_COLD_RATIO: f64 = 5.0;
 /// Weight of one answer in the exponentially weighted average of that ratio.
 const COLD_WEIGHT: f64 = 0.1;
-/// How many times its expected time a request is taken to need where its aim is at stake, since
-/// about half of all work takes longer than expected.
-const AIM_MARGIN: f64 = 1.15;
 /// Work time that is assumed before the first answer, in microseconds.
 const INITIAL_WORK_US: f64 = 100_000.0;
 /// A request is overdue after this many times its expected time.
@@ -50,8 +36,9 @@
 /// Overdue requests, without any answer since the first of them started, from which the target is
 /// taken to be stalled.
 const STALLED_REQUESTS: usize = 2;
-/// Limit of waiting requests per slot; more could not start before their deadlines.
-const WAITING_PER_SLOT: usize = 4;
+/// The pause after which a request tries again to start at a cold target that keeps its room for
+/// more urgent ones, in microseconds. The demand of these is counted over a second.
+const RESERVED_WAIT_US: u64 = 20_000;
 /// Limit of a request's wait, as a share of the time to its deadline: a request that is refused
 /// early can still be served when its caller retries.
 const MAX_WAIT_SHARE: f64 = 0.4;
@@ -117,23 +104,13 @@
     Refuse(Refusal),
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    request: SlotRequest,
-    arrived: Time,
-    /// When the request is refused if it has not started.
-    until: Time,
-}
-
-/// The order in which requests are served, lowest first: whether the aim can no longer be met, the
-/// priority, the aim.
-type Rank = (bool, u32, Time);
-
 #[derive(Clone, Copy, Debug)]
 struct Running {
     id: u64,
     /// The expected work time, in microseconds.
     work_us: u64,
+    /// How urgent it is, and so its calls.
+    run: Run,
     /// When it started.
     begun: Time,
     /// When it is overdue.
@@ -154,18 +131,15 @@
     knee: Knee,
     /// In order of arrival.
     waiting: Vec<Waiting>,
+    /// The share of lower priorities in the starts.
+    turns: Turns,
+    /// What of a cold target's limit is kept for urgent requests.
+    reserve: Reserve,
     /// The limits of a cold target.
     warmth: Warmth,
     /// The limit that the target names.
     named: NamedRate,
-    slowness: f64,
-    slowness_at: Time,
-    /// Since when every report found the VM slow.
-    slow_since: Option<Time>,
-    /// Whether the target ever reported its VM's slowness.
-    reports_slowness: bool,
-    /// Until when work starts without a probe.
-    unprobed_until: Time,
+    slowness: Slowness,
     /// Exponentially weighted average of the work time on a VM that is not slow, in microseconds.
     work_us: f64,
     /// How many times longer work takes while the target is cold; at least 1.
@@ -186,13 +160,11 @@
             running: Vec::new(),
             knee: Knee::default(),
             waiting: Vec::new(),
+            turns: Turns::default(),
+            reserve: Reserve::default(),
             warmth: Warmth::default(),
             named: NamedRate::default(),
-            slowness: 1.0,
-            slowness_at: Time::default(),
-            slow_since: None,
-            reports_slowness: false,
-            unprobed_until: Time::default(),
+            slowness: Slowness::default(),
             work_us: INITIAL_WORK_US,
             cold_ratio: INITIAL_COLD_RATIO,
             answered_at: Time::default(),
@@ -241,25 +213,19 @@
 
     /// Records the slowness of the target's VM; 1 means as fast as usual.
     pub fn set_slowness(&mut self, now: Time, slowness: f64) {
-        self.slowness = slowness;
-        self.slowness_at = now;
-        self.reports_slowness = true;
-        self.slow_since = match slowness >= SLOW_RATIO {
-            true => self.slow_since.or(Some(now)),
-            false => None,
-        };
+        self.slowness.set(now, slowness);
     }
 
     /// Records that a probe did not report the VM's slowness. For a while work then starts without
     /// a probe.
     pub fn set_slowness_unknown(&mut self, now: Time) {
-        self.unprobed_until = now.after(UNPROBED_US);
+        self.slowness.set_unknown(now);
     }
 
     /// Returns whether a waiting request could start now if a probe found that the VM is not slow.
     pub fn needs_probe(&mut self, now: Time) -> bool {
         let waits = self.waiting.iter().any(|waiting| !self.may_start(now, &waiting.request));
-        waits && self.may_probe(now) && !self.is_slowness_fresh(now) && self.has_room(now)
+        waits && self.may_probe(now) && !self.slowness.is_fresh(now) && self.has_room(now)
     }
 
     /// Returns how many times longer work takes when the target is nearly full; `None` until there
@@ -279,8 +245,9 @@
         if request.deadline <= now {
             return Decision::Refuse(Refusal::Late);
         }
-        let has_room = self.has_room(now);
-        if request.elsewhere && has_room && self.is_slow(now) {
+        self.reserve.asked(now, request.priority);
+        let has_room = self.has_room_for(now, request.priority);
+        if request.elsewhere && has_room && self.slowness.is_slow(now) {
             return Decision::Refuse(Refusal::Slow);
         }
         let others_wait = self.waiting.iter().any(|waiting| !waiting.request.elsewhere);
@@ -290,18 +257,16 @@
         }
         if request.elsewhere {
             let can_wait = has_room && !others_wait && self.waiting.len() < self.slots as usize;
-            if can_wait && self.may_probe(now) && !self.is_slowness_fresh(now) {
+            if can_wait && self.may_probe(now) && !self.slowness.is_fresh(now) {
                 self.waiting.push(Waiting { request, arrived: now, until: request.deadline });
                 return Decision::Wait;
             }
             return Decision::Refuse(self.lacks(now, Refusal::Busy));
         }
         let until = now.after((request.deadline.since(now) as f64 * MAX_WAIT_SHARE) as u64);
-        let rank = self.rank(now, &request);
-        let ahead = self.waiting.iter().filter(|other| self.rank(now, &other.request) <= rank);
-        let starts_at = now.after(self.expected_wait_us(now, ahead.count()));
-        let most = self.slots as usize * WAITING_PER_SLOT;
-        if self.waiting.len() >= most || starts_at >= until {
+        let before = self.starts_before(now, &request);
+        let starts_at = now.after(self.expected_wait_us(now, before));
+        if starts_at >= until || !self.has_place(now, &request) {
             return Decision::Refuse(self.lacks(now, Refusal::Full));
         }
         self.waiting.push(Waiting { request, arrived: now, until });
@@ -330,31 +295,16 @@
             }
             may_wait
         });
-        while self.has_room(now) {
-            let waiting = self.waiting.iter().enumerate();
-            let ready = waiting.filter(|(_, waiting)| self.may_start(now, &waiting.request));
-            let ranks = ready.map(|(at, waiting)| (self.rank(now, &waiting.request), at));
-            let Some((_, at)) = ranks.min() else { break };
+        while let Some(at) = self.next_start(now) {
             let waiting = self.waiting.remove(at);
             self.begin(now, &waiting.request);
             decided.push((waiting.request.id, Decision::Run));
         }
         decided.extend(self.refuse_redirectable(now));
+        decided.extend(self.refuse_hopeless(now));
         decided
     }
 
-    /// Refuses the waiting requests that another target may take. They waited only for a probe, so
-    /// this does nothing while there is room and the probe is not done.
-    fn refuse_redirectable(&mut self, now: Time) -> Vec<(u64, Decision)> {
-        let has_room = self.has_room(now);
-        if has_room && self.may_probe(now) && !self.is_slowness_fresh(now) {
-            return Vec::new();
-        }
-        let refusal = if has_room { Refusal::Slow } else { self.lacks(now, Refusal::Busy) };
-        let redirected = self.waiting.extract_if(.., |waiting| waiting.request.elsewhere);
-        redirected.map(|waiting| (waiting.request.id, Decision::Refuse(refusal))).collect()
-    }
-
     /// Refuses all waiting requests with `refusal`, and returns them by id.
     pub fn refuse_waiting(&mut self, refusal: Refusal) -> Vec<(u64, Decision)> {
         let all = self.waiting.drain(..);
@@ -406,13 +356,7 @@
         let mut earliest = earliest.unwrap_or(Time::NEVER);
         let held = self.waiting.iter().any(|waiting| !self.may_start(now, &waiting.request));
         if held && self.has_room(now) {
-            // A probe that is due is already under way.
-            let next_probe = self.slowness_at.after(SLOWNESS_FRESH_US);
-            earliest = earliest.min(if next_probe > now {
-                next_probe
-            } else {
-                now.after(SLOWNESS_FRESH_US)
-            });
+            earliest = earliest.min(self.slowness.next_probe(now));
         }
         if self.waiting.is_empty() {
             return earliest;
@@ -421,7 +365,8 @@
             earliest = earliest.min(self.named.next_room(now));
         }
         if self.is_cold(now) || self.warmth.room(now) == Some(0) {
-            earliest = earliest.min(self.warmth.next_room(now).max(now.after(1_000)));
+            let least_us = if self.has_room(now) { RESERVED_WAIT_US } else { 1_000 };
+            earliest = earliest.min(self.warmth.next_room(now).max(now.after(least_us)));
         }
         earliest
     }
@@ -437,6 +382,12 @@
         room as i32
     }
 
+    /// Returns how urgent a call is that the target makes, from the running request that it belongs
+    /// to: both expire together. `None` if no running request matches.
+    pub fn parent(&self, now: Time, deadline: Time) -> Option<Urgency> {
+        room::parent(now, deadline, self.running.iter().map(|running| running.run))
+    }
+
     /// Returns the number of running requests; above [`Admission::slots`] after that was lowered.
     pub fn running(&self) -> u32 {
         self.running.len() as u32
@@ -454,16 +405,12 @@
 
     /// Returns the VM's slowness; 1 if there was no recent report.
     pub fn slowness(&self, now: Time) -> f64 {
-        match now.since(self.slowness_at) < SLOWNESS_VALID_US {
-            true => self.slowness,
-            false => 1.0,
-        }
+        self.slowness.ratio(now)
     }
 
     /// Returns the VM's slowness; `None` if there was no recent report.
     pub fn known_slowness(&self, now: Time) -> Option<f64> {
-        let known = self.reports_slowness && now.since(self.slowness_at) < SLOWNESS_VALID_US;
-        known.then_some(self.slowness)
+        self.slowness.known(now)
     }
 
     /// Returns the average work time on a VM that is not slow, in microseconds.
@@ -482,7 +429,7 @@
     }
 
     fn begin(&mut self, now: Time, request: &SlotRequest) {
-        let SlotRequest { id, work_us, .. } = *request;
+        let SlotRequest { id, work_us, priority, aim, deadline, .. } = *request;
         let occupancy = match self.slowness(now) < QUIET_RATIO && !self.is_cold(now) {
             true => Knee::occupancy(self.running() + 1, self.slots),
             false => Occupancy::Unclear,
@@ -491,7 +438,9 @@
         let cold_ratio = if cold { self.cold_ratio } else { 1.0 };
         let expected_us = work_us as f64 * self.slowness(now) * cold_ratio;
         let overdue = now.after((expected_us * OVERDUE_FACTOR).max(MIN_OVERDUE_US) as u64);
-        self.running.push(Running { id, work_us, begun: now, overdue, occupancy, cold });
+        let run = Run { priority, aim, deadline, ends: now.after(expected_us as u64) };
+        self.running.push(Running { id, work_us, run, begun: now, overdue, occupancy, cold });
+        self.reserve.started(now, priority);
         self.warmth.sent(now);
         self.named.sent(now);
     }
@@ -502,6 +451,17 @@
         rate_allows && limit_allows && self.running() < self.limit(now)
     }
 
+    /// Returns whether there is room that is not kept for more urgent requests.
+    fn has_room_for(&mut self, now: Time, priority: u32) -> bool {
+        self.has_room(now) && self.is_reserved_for(now, priority)
+    }
+
+    /// Returns whether the room that there is may be used by requests of a priority.
+    fn is_reserved_for(&self, now: Time, priority: u32) -> bool {
+        let limit = self.warmth.cold_limit(now);
+        limit.is_none_or(|limit| self.reserve.allows(now, priority, limit))
+    }
+
     /// Returns how many requests may run at once: one while the target is stalled.
     fn limit(&mut self, now: Time) -> u32 {
         let is_overdue = |running: &&Running| now >= running.overdue;
@@ -512,14 +472,6 @@
         if self.stalled { 1 } else { self.knee.usable_slots(self.slots) }
     }
 
-    fn is_slow(&self, now: Time) -> bool {
-        self.slowness(now) >= SLOW_RATIO
-    }
-
-    fn is_slowness_fresh(&self, now: Time) -> bool {
-        now.since(self.slowness_at) < SLOWNESS_FRESH_US || now < self.unprobed_until
-    }
-
     /// Returns whether the VM's slowness may be probed. A cold target and one that names a limit take
     /// few requests, and health checks may count as such.
     fn may_probe(&self, now: Time) -> bool {
@@ -529,27 +481,10 @@
     /// Returns whether work may start as far as the VM's slowness goes. Of a target that names a
     /// limit only what its answers report is known.
     fn may_start(&self, now: Time, request: &SlotRequest) -> bool {
-        let is_lasting = self.slow_since.is_some_and(|since| now.since(since) >= LASTING_SLOW_US);
         let is_short = request.work_us < SHORT_WORK_US;
-        let needs_quiet = self.reports_slowness && !is_short && !is_lasting && !self.is_cold(now);
-        let is_known = self.is_slowness_fresh(now) || !self.may_probe(now);
-        !needs_quiet || now < self.unprobed_until || is_known && !self.is_slow(now)
-    }
-
-    fn rank(&self, now: Time, request: &SlotRequest) -> Rank {
-        let cold_ratio = if self.is_cold(now) { self.cold_ratio } else { 1.0 };
-        let work_us = request.work_us as f64 * self.slowness(now) * cold_ratio;
-        let done = now.after((work_us * AIM_MARGIN) as u64);
-        (done > request.aim, request.priority, request.aim)
-    }
-
-    /// Returns the expected wait of a request with `ahead` others before it, in microseconds.
-    fn expected_wait_us(&self, now: Time, ahead: usize) -> u64 {
-        let position = ahead as f64 + 1.0;
-        let slots = f64::from(self.knee.usable_slots(self.slots).max(1));
-        let cold_ratio = if self.is_cold(now) { self.cold_ratio } else { 1.0 };
-        let by_slots = self.work_us * cold_ratio * position / slots;
-        let by_rate = self.named.duration_us(position).max(self.warmth.wait_us(now, position));
-        by_slots.max(by_rate) as u64
+        let is_held = self.slowness.is_reported() && !is_short && !self.slowness.is_lasting(now);
+        let needs_quiet = is_held && !self.is_cold(now);
+        let is_known = self.slowness.is_fresh(now) || !self.may_probe(now);
+        !needs_quiet || self.slowness.is_unprobed(now) || is_known && !self.slowness.is_slow(now)
     }
 }
--- a/crates/policy/src/warmth.rs
+++ b/crates/policy/src/warmth.rs
@@ -81,6 +81,12 @@
         self.cold_until > now
     }
 
+    /// Returns the limit of requests in any second while the target is cold. `None` if it is not, or
+    /// without a limit.
+    pub fn cold_limit(&self, now: Time) -> Option<u32> {
+        self.limit.filter(|_| self.is_cold(now))
+    }
+
     /// Returns how many requests may be sent now. `None` without a limit.
     pub fn room(&mut self, now: Time) -> Option<u32> {
         let limit = self.limit?;
