Calls of a target inherit the urgency of the request that they belong to

Cause: a call has a route of its own, mostly with priority 0 or none, so that calls of less urgent requests went before urgent requests at a shared service. Change: the guard matches a call's end with those of the requests that its target runs (policy::room::parent); the entry takes over the priority and the aim, where routes differ in priority or workspaces have one, for routes of which most requests match, or for requests without a key where keys are needed. Measured: compiles; policy tests pass.

--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -8,7 +8,7 @@
 use http::header::HeaderValue;
 use http::request::Parts;
 use platform::headers;
-use policy::{Candidate, Refusal, Time, choose};
+use policy::{Candidate, Refusal, Time, Urgency, choose};
 use rand::Rng;
 use wire::Field;
 use wire::link::Attempt;
@@ -51,6 +51,8 @@
     body: Bytes,
     arrived: Time,
     deadline: Time,
+    /// How urgent it is if it is a call of this VM's target.
+    inherited: Option<Urgency>,
     /// Names of the nodes whose guards were asked.
     tried: Vec<Name>,
     /// Attempts that reached a target, or may have.
@@ -116,6 +118,7 @@
             body,
             arrived,
             deadline: deadline(arrived, &head.headers, route.timeout_us),
+            inherited: self.inherited(&ruleset.routing, route, &head.headers, arrived),
             tried: Vec::new(),
             reached: 0,
             attempts: 0,
@@ -219,6 +222,11 @@
         self.entry.estimates.borrow_mut().value_mut(&self.route.name).slow_work_us()
     }
 
+    /// Returns the priority: that of the request that a call belongs to, or the route's.
+    fn priority(&self) -> u32 {
+        self.inherited.map_or(self.route.priority, |parent| parent.priority)
+    }
+
     /// Returns whether an attempt that starts now ends before this node stops.
     fn may_start(&self) -> bool {
         self.entry.shutdown().is_none_or(|shutdown| {
@@ -338,6 +346,7 @@
         let estimate =
             entry.estimates.borrow_mut().value_mut(&self.route.name).request(self.body.len());
         let aim = self.arrived.after(self.route.aim_us);
+        let aim = self.inherited.map_or(aim, |parent| parent.aim);
         let attempt = Attempt {
             id: self.id.clone(),
             service: self.service.clone(),
@@ -349,7 +358,7 @@
             left_us: self.end().since(begun).saturating_sub(RETURN_US),
             aim_us: aim.since(begun).saturating_sub(RETURN_US),
             work_us: estimate.work_us as u64,
-            priority: self.route.priority,
+            priority: self.priority(),
             elsewhere,
         };
         let (deadline, slow_us) = (self.end(), self.slow_work_us());
@@ -564,6 +573,8 @@
             attempts = self.attempts,
             reached = self.reached,
             hedged = self.hedged,
+            priority = self.priority(),
+            is_call = self.inherited.is_some(),
             tried = ?self.tried,
             refusal = %self.refusal,
             detail = self.detail,
--- a/crates/sidecar/src/entry/mod.rs
+++ b/crates/sidecar/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod call;
 mod callers;
+mod calls;
 mod estimates;
 mod pipeline;
 mod read_ahead;
--- a/crates/sidecar/src/entry/state.rs
+++ b/crates/sidecar/src/entry/state.rs
@@ -12,7 +12,8 @@
 use world::Name;
 
 use crate::configuration::ActiveRuleset;
-use crate::entry::estimates::{RetryBudgets, RouteEstimates};
+use crate::entry::calls::MatchShare;
+use crate::entry::estimates::{NameMap, RetryBudgets, RouteEstimates};
 use crate::guard::Guard;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -35,6 +36,10 @@
     pub(super) rng: RefCell<SmallRng>,
     pub(super) estimates: RefCell<RouteEstimates>,
     pub(super) budgets: RefCell<RetryBudgets>,
+    /// By route name.
+    pub(super) match_shares: RefCell<NameMap<MatchShare>>,
+    /// Whether a ruleset serves some requests before others, with its revision.
+    pub(super) ranked: Cell<(u64, bool)>,
     pub(super) retry_bound: Cell<RetryBound>,
     pub(super) routine_lines: RefCell<TokenBucket>,
     pub(super) notable_lines: RefCell<TokenBucket>,
@@ -67,6 +72,8 @@
             rng: RefCell::new(SmallRng::from_os_rng()),
             estimates: RefCell::default(),
             budgets: RefCell::default(),
+            match_shares: RefCell::default(),
+            ranked: Cell::default(),
             retry_bound: Cell::new(retry_bound),
             routine_lines: RefCell::new(TokenBucket::new(ROUTINE_LINES_PER_S, ROUTINE_LINES_PER_S)),
             notable_lines: RefCell::new(TokenBucket::new(NOTABLE_LINES_PER_S, NOTABLE_LINES_PER_S)),
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -7,6 +7,7 @@
 use platform::settings::WarmupLimits;
 use policy::{
     Admission, CrashNotice, Crashes, Decision, Refusal, Report, SlotRequest, Time, TokenBucket,
+    Urgency,
 };
 use runtime::Clock;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
@@ -240,6 +241,12 @@
         state.admission.running() as usize + state.admission.waiting()
     }
 
+    /// Returns how urgent a call is that the target makes, by the request that expires with it at
+    /// `deadline`. `None` if no running request does.
+    pub fn parent(&self, deadline: Time) -> Option<Urgency> {
+        self.state.borrow().admission.parent(self.clock.now(), deadline)
+    }
+
     /// Reports the target as closed to other nodes. Requests that still arrive are accepted until
     /// [`Guard::drain`].
     pub fn announce_drain(&self) {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -41,6 +41,8 @@
     pub connections_opened: Counter,
     /// Retries and hedged attempts that the retry budget allowed.
     pub repeats: Counter,
+    /// Calls of the target that were as urgent as the requests that they belong to.
+    pub inherited: Counter,
     /// Links to other nodes, opened by either end.
     pub links_opened: Counter,
     /// Log lines about requests that were dropped because of the limit per second.
@@ -85,6 +87,7 @@
             target_limit,
             connections_opened: counter("target_connections", "Connections opened to the target"),
             repeats: counter("repeats", "Attempts beyond the first of a request"),
+            inherited: counter("inherited", "Calls as urgent as the requests they belong to"),
             links_opened: counter("links", "Links to other nodes that were opened"),
             dropped_lines: counter("log_lines_dropped", "Log lines left out"),
             revision,
--- a/crates/world/src/routing.rs
+++ b/crates/world/src/routing.rs
@@ -133,6 +133,15 @@
         Some(&self.services[at])
     }
 
+    /// Returns whether some requests go before others: routes differ in priority, or a workspace has
+    /// one.
+    pub fn is_ranked(&self) -> bool {
+        let mut priorities = self.routes.iter().map(|route| route.priority);
+        let first = priorities.next();
+        priorities.any(|priority| Some(priority) != first)
+            || self.workspaces.iter().any(|workspace| workspace.priority.is_some())
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.routes.len()
