--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,8 +29,10 @@
 mod rate;
 mod retries;
 mod rollout;
+pub mod room;
 mod service;
 mod shutdown;
+mod slowness;
 mod subset;
 mod suspects;
 mod time;
@@ -67,6 +69,7 @@
 pub use rate::RateWindow;
 pub use retries::{RetryBound, RetryBudget};
 pub use rollout::{EvidenceReport, ExposureGrant, RouteEvidence};
+pub use room::Urgency;
 pub use service::ServiceState;
 pub use shutdown::Shutdown;
 pub use subset::{LinkCandidate, select_subset};
