--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -7,7 +7,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{Knee, NamedRate, Occupancy, Time, Warmth};
+use crate::{Exposure, Knee, NamedRate, Occupancy, Time, Warmth};
 
 /// A reported slowness is used for this long, in microseconds: neighbours keep a VM busy for about
 /// a tenth of a second at a time.
@@ -158,6 +158,8 @@
     warmth: Warmth,
     /// The limit that the target names.
     named: NamedRate,
+    /// The limit of a version that is rolled out.
+    exposure: Exposure,
     slowness: f64,
     slowness_at: Time,
     /// Since when every report found the VM slow.
@@ -188,6 +190,7 @@
             waiting: Vec::new(),
             warmth: Warmth::default(),
             named: NamedRate::default(),
+            exposure: Exposure::default(),
             slowness: 1.0,
             slowness_at: Time::default(),
             slow_since: None,
@@ -234,6 +237,16 @@
         &mut self.named
     }
 
+    /// Returns what the target's version may be sent.
+    pub fn exposure(&self) -> &Exposure {
+        &self.exposure
+    }
+
+    /// Returns what the target's version may be sent, to record orders and grants.
+    pub fn exposure_mut(&mut self) -> &mut Exposure {
+        &mut self.exposure
+    }
+
     /// Forgets what an earlier target named.
     pub fn reset_named(&mut self) {
         self.named = NamedRate::default();
@@ -312,10 +325,11 @@
     /// `otherwise`.
     fn lacks(&mut self, now: Time, otherwise: Refusal) -> Refusal {
         let is_cold = self.is_cold(now) || self.warmth.room(now) == Some(0);
-        match (is_cold, self.named.room(now)) {
+        let is_limited = self.named.room(now) == Some(0) || self.exposure.room(now) == Some(0);
+        match (is_cold, is_limited) {
             (true, _) => Refusal::Cold,
-            (false, Some(0)) => Refusal::Limited,
-            (false, _) => otherwise,
+            (false, true) => Refusal::Limited,
+            (false, false) => otherwise,
         }
     }
 
@@ -420,6 +434,9 @@
         if self.named.room(now) == Some(0) {
             earliest = earliest.min(self.named.next_room(now));
         }
+        if self.exposure.room(now) == Some(0) {
+            earliest = earliest.min(self.exposure.next_room(now).max(now.after(1_000)));
+        }
         if self.is_cold(now) || self.warmth.room(now) == Some(0) {
             earliest = earliest.min(self.warmth.next_room(now).max(now.after(1_000)));
         }
@@ -434,6 +451,7 @@
         let slots = self.limit(now).saturating_sub(self.running());
         let room = slots.min(self.warmth.room(now).unwrap_or(u32::MAX));
         let room = room.min(self.named.room(now).unwrap_or(u32::MAX));
+        let room = room.min(self.exposure.room(now).unwrap_or(u32::MAX));
         room as i32
     }
 
@@ -494,11 +512,12 @@
         self.running.push(Running { id, work_us, begun: now, overdue, occupancy, cold });
         self.warmth.sent(now);
         self.named.sent(now);
+        self.exposure.sent(now);
     }
 
     fn has_room(&mut self, now: Time) -> bool {
         let rate_allows = self.warmth.room(now) != Some(0);
-        let limit_allows = self.named.room(now) != Some(0);
+        let limit_allows = self.named.room(now) != Some(0) && self.exposure.room(now) != Some(0);
         rate_allows && limit_allows && self.running() < self.limit(now)
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -61,7 +61,10 @@
 pub use quota::{TokenGrant, TokenRequest};
 pub use rate::RateWindow;
 pub use retries::{RetryBound, RetryBudget};
-pub use rollout::{EvidenceReport, ExposureGrant, RouteEvidence};
+pub use rollout::{
+    Coordinator, Evidence, EvidenceReport, Exposure, ExposureGrant, ExposureLimit, RouteEvidence,
+    coordinator_order, route_id,
+};
 pub use service::ServiceState;
 pub use shutdown::Shutdown;
 pub use subset::{LinkCandidate, select_subset};
--- /dev/null
+++ b/crates/policy/src/rollout/coordinator.rs
@@ -0,0 +1,414 @@
+//! The coordinator of one roll-out: divides the exposure among targets, and decides.
+
+use derive_more::Display;
+use world::{Name, Rollout, RolloutState};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::rollout::evidence::{EvidenceReport, RouteEvidence};
+use crate::rollout::exposure::ExposureGrant;
+use crate::rollout::verdict::{Finding, RouteTests, THRESHOLD};
+use crate::{Member, Time};
+
+/// The time after its start in which the coordinator collects the counts of all guards before it tests
+/// them, in microseconds.
+const COLLECT_US: u64 = 400_000;
+/// The time for which a grant holds, in microseconds: two intervals of reports.
+const GRANT_US: u64 = 600_000;
+/// The time in which a target may use up what is left of the exposure, in seconds: so that little is
+/// sent beyond it before the next report.
+const SPEND_S: f64 = 0.5;
+/// The share of the bound's rate that the trial uses. The rest is for the ramp.
+const TRIAL_SHARE: f64 = 0.8;
+/// The share of the bound's slack that the trial uses.
+const TRIAL_SLACK: f64 = 0.5;
+/// The time after which a report is outdated, in microseconds.
+const FRESH_US: u64 = 1_200_000;
+/// The use of a target's slots that a trial aims at.
+const TRIAL_USE: f64 = 0.6;
+/// The use of the new targets' slots up to which they have room for all that runs.
+const ROOM_USE: f64 = 0.8;
+/// When the trial may end, by the answers that it needs, as a share of the period.
+const TRIAL_ENDS: [(f64, u64); 3] = [(0.5, 60), (0.62, 10), (0.8, 1)];
+/// A sum up to which a test is quiet, as a share of its threshold.
+const QUIET: f64 = 0.5;
+/// The least length of the ramp, in microseconds.
+const RAMP_US: u64 = 1_000_000;
+/// The share of the period that the ramp takes.
+const RAMP_SHARE: f64 = 0.08;
+/// The least and the longest wait for what runs at the other versions, in microseconds.
+const SWITCH_US: (u64, u64) = (400_000, 1_500_000);
+
+/// The bound on what a bad version is sent: a share of the service's requests, and some more.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExposureLimit {
+    /// The share of the requests between the order and its end.
+    pub share: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
+/// The steps of a roll-out.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "snake_case")]
+enum Phase {
+    /// A few targets get the share.
+    Trial,
+    /// All targets of the version get what entries send.
+    Ramp,
+    /// Targets of other versions get nothing.
+    Switch,
+    /// The version is accepted. Its predecessor gets nothing, and the verdict is to be written.
+    Completing,
+    /// The verdict.
+    Completed,
+    /// The verdict, which takes effect before it is written.
+    RolledBack,
+}
+
+/// Sorts the nodes in the order in which guards ask them to coordinate a service's roll-out, by
+/// rendezvous hashing.
+pub fn coordinator_order(service: &str, nodes: &mut [&Member]) {
+    let seed = xxh3_64(service.as_bytes());
+    nodes.sort_by_cached_key(|node| xxh3_64_with_seed(node.name.as_bytes(), seed));
+}
+
+/// Returns the id of a route in reports.
+pub fn route_id(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// What one guard reported.
+#[derive(Clone, Debug)]
+struct Reporter {
+    name: Name,
+    /// When its last report arrived.
+    at: Time,
+    last: EvidenceReport,
+    /// Whether bad answers came from its target alone.
+    lone: bool,
+}
+
+/// The coordinator of one roll-out.
+#[derive(Clone, Debug)]
+pub struct Coordinator {
+    order: Rollout,
+    limit: ExposureLimit,
+    /// When this coordinator began.
+    opened: Time,
+    /// When the order was given, as far as is known.
+    begun: Time,
+    phase: Phase,
+    phase_at: Time,
+    /// Sorted by name.
+    reporters: Vec<Reporter>,
+    /// Sorted by route.
+    tests: Vec<RouteTests>,
+    /// Versions of which earlier orders were rolled back.
+    rejected: Vec<Name>,
+    /// Requests that reached the service since the order.
+    requests: u64,
+    /// Of these, those that reached the ordered version.
+    exposed: u64,
+    /// Answers of the ordered version that count.
+    answers: u64,
+    /// The share of the service's nodes that are up and have reported.
+    coverage: f64,
+    /// The state that the store has.
+    stored: Option<RolloutState>,
+}
+
+impl Coordinator {
+    /// Creates the coordinator of an order. `rejected` are versions that get nothing.
+    pub fn new(
+        now: Time,
+        order: Rollout,
+        limit: ExposureLimit,
+        rejected: Vec<Name>,
+    ) -> Coordinator {
+        Coordinator {
+            order,
+            limit,
+            opened: now,
+            begun: now,
+            phase: Phase::Trial,
+            phase_at: now,
+            reporters: Vec::new(),
+            tests: Vec::new(),
+            rejected,
+            requests: 0,
+            exposed: 0,
+            answers: 0,
+            coverage: 0.0,
+            stored: None,
+        }
+    }
+
+    /// Returns the order.
+    pub fn order(&self) -> &Rollout {
+        &self.order
+    }
+
+    /// Sets the share of the service's nodes that are up and report. Without nearly all of them, the
+    /// version is not completed.
+    pub fn set_coverage(&mut self, coverage: f64) {
+        self.coverage = coverage;
+    }
+
+    /// Returns the names of the guards that reported recently.
+    pub fn reporters(&self, now: Time) -> impl Iterator<Item = &Name> {
+        self.fresh(now).map(|reporter| &reporter.name)
+    }
+
+    /// Handles a guard's report, and returns its grant.
+    pub fn report(&mut self, now: Time, name: &Name, report: EvidenceReport) -> ExposureGrant {
+        let age = Time(now.0.saturating_sub(report.age_us));
+        self.begun = self.begun.min(age);
+        let at = match self.reporters.binary_search_by(|other| other.name.cmp(name)) {
+            Ok(at) => at,
+            Err(at) => {
+                let last = EvidenceReport { routes: Vec::new(), ..report.clone() };
+                let reporter = Reporter { name: name.clone(), at: now, last, lone: false };
+                self.reporters.insert(at, reporter);
+                at
+            }
+        };
+        if now.since(self.opened) < COLLECT_US && report.version == self.order.version {
+            self.reporters[at].at = now;
+            return ExposureGrant { order: self.order.revision, per_s: 0.0, valid_us: GRANT_US };
+        }
+        let earlier = std::mem::replace(&mut self.reporters[at].last, report);
+        self.reporters[at].at = now;
+        if earlier.version != self.reporters[at].last.version {
+            self.reporters[at].lone = false;
+        }
+        self.count(now, at, &earlier.routes);
+        self.advance(now);
+        let per_s = self.rate(now, at);
+        let valid_us = if self.has_verdict() { u64::MAX } else { GRANT_US };
+        ExposureGrant { order: self.order.revision, per_s, valid_us }
+    }
+
+    /// Adds what a guard reported since its earlier counts.
+    fn count(&mut self, now: Time, at: usize, earlier: &[RouteEvidence]) {
+        let Reporter { name, last, .. } = &self.reporters[at];
+        let is_new = last.version == self.order.version;
+        let mut lone = false;
+        let mut is_bad = false;
+        for counts in &last.routes {
+            let before = earlier.binary_search_by_key(&counts.route, |entry| entry.route);
+            let fresh = match before {
+                Ok(before) => counts.since(&earlier[before]),
+                Err(_) => counts.clone(),
+            };
+            let test = match self.tests.binary_search_by_key(&fresh.route, |test| test.route) {
+                Ok(test) => test,
+                Err(test) => {
+                    self.tests.insert(test, RouteTests::new(fresh.route));
+                    test
+                }
+            };
+            self.requests += fresh.sent;
+            if !is_new {
+                self.tests[test].add_other(now, &fresh);
+                continue;
+            }
+            self.exposed += fresh.sent;
+            self.answers += fresh.failed + fresh.times.iter().map(|n| u64::from(*n)).sum::<u64>();
+            match self.tests[test].add_new(name, &fresh) {
+                Some(Finding::Bad) => is_bad = true,
+                Some(Finding::Lone(found)) => lone |= found == *name,
+                None => {}
+            }
+        }
+        self.reporters[at].lone |= lone;
+        let all_lone = self.takers(now).all(|reporter| reporter.lone);
+        let is_decided = matches!(self.phase, Phase::Completed | Phase::RolledBack);
+        if !is_decided && (is_bad || lone && all_lone) {
+            self.enter(now, Phase::RolledBack);
+        }
+    }
+
+    /// Goes on to the next phase where that is due. Also to be called without reports.
+    pub fn advance(&mut self, now: Time) {
+        let period = self.order.period_us as f64;
+        let elapsed = now.since(self.begun) as f64 / period;
+        let in_phase = now.since(self.phase_at);
+        match self.phase {
+            Phase::Trial => {
+                let may_end = TRIAL_ENDS
+                    .iter()
+                    .any(|(share, answers)| elapsed >= *share && self.answers >= *answers);
+                if may_end && self.is_quiet() && self.has_room(now) {
+                    self.enter(now, Phase::Ramp);
+                } else if elapsed >= 1.0 {
+                    self.enter(now, Phase::RolledBack);
+                }
+            }
+            Phase::Ramp => {
+                let ramp_us = RAMP_US.max((period * RAMP_SHARE) as u64);
+                if in_phase >= ramp_us && self.is_quiet() && self.is_covered() && self.has_room(now)
+                {
+                    self.enter(now, Phase::Switch);
+                }
+            }
+            Phase::Switch => {
+                let is_idle = self.others(now).all(|reporter| reporter.last.running == 0);
+                let (least, most) = SWITCH_US;
+                if in_phase >= most || in_phase >= least && is_idle {
+                    self.enter(now, Phase::Completing);
+                }
+            }
+            Phase::Completing | Phase::Completed | Phase::RolledBack => {}
+        }
+    }
+
+    /// Returns the state that is to be written to the store, if it has another one.
+    pub fn due_state(&self) -> Option<RolloutState> {
+        let due = match self.phase {
+            Phase::Trial | Phase::Ramp | Phase::Switch => RolloutState::Running,
+            Phase::Completing | Phase::Completed => RolloutState::Completed,
+            Phase::RolledBack => RolloutState::RolledBack,
+        };
+        (self.stored != Some(due)).then_some(due)
+    }
+
+    /// Handles the state that the store has for this order. A verdict there stands.
+    pub fn set_stored(&mut self, now: Time, state: RolloutState) {
+        self.stored = Some(state);
+        let phase = match state {
+            RolloutState::Running => return,
+            RolloutState::Completed => Phase::Completed,
+            RolloutState::RolledBack => Phase::RolledBack,
+        };
+        if self.phase != phase {
+            self.enter(now, phase);
+        }
+    }
+
+    /// Handles that the store no longer has the state, which is then due again.
+    pub fn row_lost(&mut self) {
+        self.stored = None;
+    }
+
+    /// Returns whether a verdict stands.
+    pub fn has_verdict(&self) -> bool {
+        matches!(self.phase, Phase::Completed | Phase::RolledBack)
+    }
+
+    /// Returns the state as others are to know it.
+    pub fn state(&self) -> RolloutState {
+        match self.phase {
+            Phase::Completed => RolloutState::Completed,
+            Phase::RolledBack => RolloutState::RolledBack,
+            _ => RolloutState::Running,
+        }
+    }
+
+    /// Returns the name of the step.
+    pub fn step(&self) -> String {
+        self.phase.to_string()
+    }
+
+    /// Describes the step and the figures that decide on the next one, for the log.
+    pub fn describe(&self, now: Time) -> String {
+        let worst = self.tests.iter().map(RouteTests::sum).fold(0.0, f64::max);
+        let (takers, slots) = (self.takers(now).count(), self.room(now));
+        format!(
+            "{} {}: {}, after {:.1} s of {:.1}, {} of {} requests, {} answers, worst sum {worst:.1} of \
+             {THRESHOLD}, {takers} targets with {slots} slots, {:.0}% of the nodes report",
+            self.order.service,
+            self.order.version,
+            self.phase,
+            now.since(self.begun) as f64 / 1e6,
+            self.order.period_us as f64 / 1e6,
+            self.exposed,
+            self.requests,
+            self.answers,
+            self.coverage * 100.0,
+        )
+    }
+
+    /// Returns the rate that the guard at this place may send.
+    fn rate(&self, now: Time, at: usize) -> f64 {
+        let version = &self.reporters[at].last.version;
+        let is_new = *version == self.order.version || version.is_empty();
+        if !is_new && self.rejected.contains(version) {
+            return 0.0;
+        }
+        match (self.phase, is_new) {
+            (Phase::Trial, true) => self.trial_rate(now, at),
+            (Phase::Trial | Phase::Ramp | Phase::RolledBack, false) => f64::INFINITY,
+            (Phase::Ramp, true) if version.is_empty() => 0.0,
+            (Phase::RolledBack, true) => 0.0,
+            (_, true) => f64::INFINITY,
+            (_, false) => 0.0,
+        }
+    }
+
+    /// Returns the part of a target in what is left of the exposure, in requests a second.
+    fn trial_rate(&self, now: Time, at: usize) -> f64 {
+        let ExposureLimit { share, slack } = self.limit;
+        let allowed = TRIAL_SHARE * share * self.requests as f64 + TRIAL_SLACK * slack;
+        let left = allowed - self.exposed as f64;
+        let mut takers: Vec<&Reporter> =
+            self.takers(now).filter(|reporter| !reporter.lone).collect();
+        takers.sort_by_key(|reporter| (reporter.last.cold, &reporter.name));
+        let elapsed_s = (now.since(self.begun) as f64 / 1e6).max(1.0);
+        let per_s = TRIAL_SHARE * share * self.requests as f64 / elapsed_s;
+        let slots = takers.first().map_or(1, |reporter| reporter.last.slots.max(1));
+        let most = (per_s * self.usual_us() / 1e6 / (TRIAL_USE * f64::from(slots))).ceil();
+        let count = (most as usize).clamp(1, takers.len().max(1));
+        let name = &self.reporters[at].name;
+        let is_chosen = takers.iter().take(count).any(|reporter| reporter.name == *name);
+        if is_chosen && left >= 1.0 { left / count as f64 / SPEND_S } else { 0.0 }
+    }
+
+    /// Returns the time that half of the other versions' answers take, over all routes, in
+    /// microseconds.
+    fn usual_us(&self) -> f64 {
+        let usual = self.tests.iter().map(RouteTests::usual_us);
+        let (sum, count) = usual
+            .fold((0.0, 0.0), |(sum, count), (us, answers)| (sum + us * answers, count + answers));
+        sum / f64::max(count, 1.0)
+    }
+
+    fn fresh(&self, now: Time) -> impl Iterator<Item = &Reporter> {
+        self.reporters.iter().filter(move |reporter| now.since(reporter.at) < FRESH_US)
+    }
+
+    /// Returns the guards of the ordered version whose targets take requests.
+    fn takers(&self, now: Time) -> impl Iterator<Item = &Reporter> {
+        let is_new = |last: &EvidenceReport| last.version == self.order.version && last.slots > 0;
+        self.fresh(now).filter(move |reporter| is_new(&reporter.last))
+    }
+
+    /// Returns the guards of other versions.
+    fn others(&self, now: Time) -> impl Iterator<Item = &Reporter> {
+        self.fresh(now).filter(|reporter| reporter.last.version != self.order.version)
+    }
+
+    /// Returns the slots of the ordered version's targets that are not cold.
+    fn room(&self, now: Time) -> u32 {
+        self.takers(now).filter(|taker| !taker.last.cold).map(|taker| taker.last.slots).sum()
+    }
+
+    /// Returns whether the targets of the version have room for all that runs.
+    fn has_room(&self, now: Time) -> bool {
+        let running: u32 = self.fresh(now).map(|reporter| reporter.last.running).sum();
+        let room = f64::from(self.room(now)) * ROOM_USE;
+        room >= 1.0 && room >= f64::from(running)
+    }
+
+    fn is_quiet(&self) -> bool {
+        self.tests.iter().all(|test| test.sum() < THRESHOLD * QUIET)
+    }
+
+    fn is_covered(&self) -> bool {
+        self.coverage >= ROOM_USE
+    }
+
+    fn enter(&mut self, now: Time, phase: Phase) {
+        self.phase = phase;
+        self.phase_at = now;
+    }
+}
--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -162,8 +162,9 @@
         let until = self.clock.instant(deadline);
         let begun = self.clock.now();
         let known_crashes = self.crashes_of(print);
+        let tracked = self.track_evidence(attempt);
         let exchange = self.exchange(attempt, body, &target, deadline, start);
-        match tokio::time::timeout_at(until, exchange).await {
+        let outcome = match tokio::time::timeout_at(until, exchange).await {
             Err(_) => Outcome::Lost { detail: "the deadline passed".to_owned() },
             Ok(Ok(mut answer)) => {
                 answer.took_us = self.clock.now().since(begun);
@@ -186,7 +187,11 @@
                 self.check_crash(print, &target);
                 Outcome::Lost { detail }
             }
+        };
+        if let Some(tracked) = tracked {
+            tracked.ended(&outcome);
         }
+        outcome
     }
 
     /// Distinguishes an answer from a response that says that the target did not run the request. A
--- a/crates/sidecar/src/guard/heartbeats.rs
+++ b/crates/sidecar/src/guard/heartbeats.rs
@@ -74,6 +74,7 @@
             address: heartbeat.address,
         });
         state.admission.set_slots(heartbeat.slots);
+        state.admission.exposure_mut().set_version(&heartbeat.version);
         if heartbeat.leaving && !state.incarnations.is_gone(&life) {
             tracing::info!(id = &*life.id, sequence = heartbeat.sequence, "target: leaving");
             state.incarnations.mark_gone(life.clone());
@@ -92,6 +93,7 @@
             self.report_replaced(&life);
         }
         self.update_cold_limit();
+        self.update_rollout();
         // It may have been under way for seconds, so that it can show that the target is cold, but
         // not that it is warm.
         if heartbeat.cold_us > 0 {
@@ -123,6 +125,7 @@
         state.target = Some(Target { life, service, address });
         drop(state);
         self.update_cold_limit();
+        self.update_rollout();
         self.update_queue();
         self.notify_peers();
     }
--- /dev/null
+++ b/crates/sidecar/src/guard/rollout.rs
@@ -0,0 +1,204 @@
+//! What the guard does in a roll-out: keeps to the grants for its target, and counts its answers.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use http::StatusCode;
+use policy::{Evidence, EvidenceReport, ExposureGrant, Time};
+use wire::link::Attempt;
+use world::Name;
+
+use crate::guard::attempt::Outcome;
+use crate::guard::state::Guard;
+
+/// How many times longer than expected an attempt must have run to count as an answer when it is
+/// cancelled: that it was slow is known.
+const CANCELLED_RATIO: u64 = 2;
+
+/// The guard's part in the roll-out of its service.
+#[derive(Debug, Default)]
+pub(super) struct GuardRollout {
+    /// Whether the settings bound what an unproved version is sent.
+    enabled: Cell<bool>,
+    /// Counts of answers since the order.
+    evidence: RefCell<Evidence>,
+    /// Whether the target got nothing when this was last checked.
+    was_barred: Cell<bool>,
+}
+
+impl Guard {
+    /// Keeps to roll-outs from now on.
+    pub fn enable_rollouts(&self) {
+        self.rollout.enabled.set(true);
+    }
+
+    /// Applies the order in force to the target, and tells peers if it may be sent requests again or no
+    /// longer. To be called at each change, and at intervals since grants expire.
+    pub fn update_rollout(self: &Rc<Guard>) {
+        if !self.rollout.enabled.get() {
+            return;
+        }
+        // Without a ruleset, nothing is known of orders, and no request can be routed.
+        let Some(rules) = self.rules.current() else { return };
+        let service = self.service().unwrap_or_else(|| self.vm_service.clone());
+        let order = rules.rollout(&service);
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let exposure = state.admission.exposure_mut();
+        if exposure.set_order(now, order) {
+            self.rollout.evidence.replace(Evidence::default());
+            match order {
+                Some(order) => tracing::info!(
+                    service = &*order.service,
+                    version = &*order.version,
+                    period_us = order.period_us,
+                    revision = order.revision,
+                    "rollout: ordered"
+                ),
+                None => tracing::info!(service = &*service, "rollout: the order was removed"),
+            }
+        }
+        let per_s = exposure.per_s(now);
+        self.metrics.exposure.set(if per_s.is_finite() { per_s } else { -1.0 });
+        let barred = exposure.is_barred(now);
+        drop(state);
+        if self.rollout.was_barred.replace(barred) != barred {
+            tracing::info!(barred, per_s, "rollout: the target gets no requests, or some again");
+            self.update_queue();
+            self.notify_peers();
+        }
+    }
+
+    /// Returns what is to be reported to the coordinator, and whether a verdict is known. `None`
+    /// without an order.
+    pub fn evidence(&self) -> Option<(EvidenceReport, bool)> {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        let admission = &state.admission;
+        let (order, version, age_us) = admission.exposure().order(now)?;
+        let is_usable = self.closed_in(&state).is_none();
+        let report = EvidenceReport {
+            service: order.service.clone(),
+            order: order.revision,
+            version: version.clone(),
+            age_us,
+            slots: if is_usable { admission.slots() } else { 0 },
+            running: admission.running(),
+            cold: admission.is_cold(now),
+            routes: self.rollout.evidence.borrow().routes().to_vec(),
+        };
+        Some((report, admission.exposure().has_verdict()))
+    }
+
+    /// Handles a grant of the coordinator.
+    pub fn exposure_granted(self: &Rc<Guard>, grant: &ExposureGrant) {
+        let now = self.clock.now();
+        let had_verdict = {
+            let mut state = self.state.borrow_mut();
+            let exposure = state.admission.exposure_mut();
+            let had_verdict = exposure.has_verdict();
+            exposure.granted(now, grant);
+            had_verdict
+        };
+        if !had_verdict && grant.valid_us == u64::MAX {
+            tracing::info!(per_s = grant.per_s, "rollout: a verdict stands");
+        }
+        self.update_rollout();
+        self.start_waiting();
+    }
+
+    /// Counts an attempt that is sent to the target. `None` without an order.
+    pub(super) fn track_evidence(self: &Rc<Guard>, attempt: &Attempt) -> Option<TrackedAttempt> {
+        let now = self.clock.now();
+        let (order, version, cold) = {
+            let admission = &self.state.borrow().admission;
+            let (order, version, _) = admission.exposure().order(now)?;
+            (order.revision, version.clone(), admission.is_cold(now))
+        };
+        let route = self.route_of(attempt);
+        self.rollout.evidence.borrow_mut().sent(route);
+        let slow_us = attempt.work_us.saturating_mul(CANCELLED_RATIO);
+        let guard = self.clone();
+        Some(TrackedAttempt {
+            guard,
+            order,
+            version,
+            route,
+            begun: now,
+            cold,
+            slow_us,
+            ended: false,
+        })
+    }
+
+    /// Returns what identifies the route of an attempt; 0 if the ruleset has none.
+    fn route_of(&self, attempt: &Attempt) -> u64 {
+        let host = attempt.fields.iter().find(|field| field.name.eq_ignore_ascii_case("host"));
+        let host = host.and_then(|field| std::str::from_utf8(&field.value).ok());
+        let rules = self.rules.current();
+        let route = rules.as_ref().and_then(|rules| rules.routing.route(host?, &attempt.path));
+        route.map_or(0, |route| policy::route_id(&route.name))
+    }
+}
+
+/// An attempt at the target, of which the end is counted. Dropping it without an end counts as
+/// cancelled.
+#[derive(Debug)]
+pub(super) struct TrackedAttempt {
+    guard: Rc<Guard>,
+    /// The revision of the order at its start.
+    order: u64,
+    /// The target's version at its start.
+    version: Name,
+    route: u64,
+    begun: Time,
+    /// Whether the target was cold at its start.
+    cold: bool,
+    /// The time from which on it is slow, in microseconds.
+    slow_us: u64,
+    /// Whether the end was counted.
+    ended: bool,
+}
+
+impl TrackedAttempt {
+    /// Counts the end of the attempt.
+    pub(super) fn ended(mut self, outcome: &Outcome) {
+        self.ended = true;
+        let is_failure = |status: StatusCode| status.is_server_error();
+        match outcome {
+            Outcome::NotRun { .. } => {}
+            Outcome::Answer(answer) if !is_failure(answer.status) => {
+                self.count(|evidence, this| {
+                    evidence.answered(this.route, answer.took_us, this.cold);
+                });
+            }
+            Outcome::Answer(_) | Outcome::Lost { .. } => {
+                self.count(|evidence, this| evidence.failed(this.route));
+            }
+        }
+    }
+
+    /// Counts the end, unless the order or the target's version is another one now.
+    fn count(&self, add: impl FnOnce(&mut Evidence, &TrackedAttempt)) {
+        let now = self.guard.clock.now();
+        let is_current = {
+            let state = self.guard.state.borrow();
+            let order = state.admission.exposure().order(now);
+            order.is_some_and(|(order, version, _)| {
+                order.revision == self.order && *version == self.version
+            })
+        };
+        if is_current {
+            add(&mut self.guard.rollout.evidence.borrow_mut(), self);
+        }
+    }
+}
+
+impl Drop for TrackedAttempt {
+    fn drop(&mut self) {
+        let ran_us = self.guard.clock.now().since(self.begun);
+        if !self.ended && ran_us >= self.slow_us.max(1) {
+            self.count(|evidence, this| evidence.answered(this.route, ran_us, this.cold));
+        }
+    }
+}
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -19,6 +19,7 @@
 use crate::guard::incarnations::Incarnations;
 use crate::guard::pool::Pool;
 use crate::guard::probe;
+use crate::guard::rollout::GuardRollout;
 use crate::guard::starts::StartLimits;
 use crate::metrics::Metrics;
 
@@ -114,6 +115,8 @@
     queued: Notify,
     /// Until when attempts may be sent to the target.
     pub(super) starts: StartLimits,
+    /// The roll-out of the service.
+    pub(super) rollout: GuardRollout,
     /// Requests that crash their targets, as far as this node knows.
     pub(super) crashes: RefCell<Crashes>,
     /// Runs that may turn out to have crashed the target, oldest first.
@@ -156,6 +159,7 @@
             checking: Cell::new(false),
             queued: Notify::new(),
             starts: StartLimits::default(),
+            rollout: GuardRollout::default(),
             crashes: RefCell::default(),
             broken: RefCell::default(),
             crash_notices,
@@ -215,6 +219,12 @@
     }
 
     fn refusal_in(&self, state: &State) -> Option<Refusal> {
+        let is_barred = || state.admission.exposure().is_barred(self.clock.now());
+        self.closed_in(state).or_else(|| is_barred().then_some(Refusal::Limited))
+    }
+
+    /// Returns why the guard refuses every request, whatever its target's version may be sent.
+    pub(super) fn closed_in(&self, state: &State) -> Option<Refusal> {
         match &state.target {
             _ if self.draining.get() => Some(Refusal::Draining),
             None => Some(Refusal::NoTarget),
@@ -285,6 +295,7 @@
     /// Handles a new ruleset, which may take the data centre out of service or put it back.
     pub fn ruleset_changed(self: &Rc<Guard>) {
         self.update_cold_limit();
+        self.update_rollout();
         let out = self.is_out();
         let was_out = self.was_out.replace(out);
         if was_out == out {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -37,6 +37,8 @@
     pub target_requests: Counter,
     /// The requests a second that the target takes as it last named them; -1 if it names none.
     pub target_limit: Gauge<f64, AtomicU64>,
+    /// The requests a second that the target is granted in a roll-out; -1 if it is not limited.
+    pub exposure: Gauge<f64, AtomicU64>,
     /// Connections that the guard opened to the target, whether or not they succeeded.
     pub connections_opened: Counter,
     /// Retries and hedged attempts that the retry budget allowed.
@@ -66,6 +68,10 @@
         target_limit.set(-1.0);
         let help = "Requests a second that the target takes; -1 if it names no limit";
         registry.register("target_limit", help, target_limit.clone());
+        let exposure = Gauge::<f64, AtomicU64>::default();
+        exposure.set(-1.0);
+        let help = "Requests a second that a roll-out grants the target; -1 without a limit";
+        registry.register("rollout_exposure", help, exposure.clone());
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::<u64, AtomicU64>::default();
             registry.register(name, help, gauge.clone());
@@ -83,6 +89,7 @@
             probes: counter("target_probes", "Health checks of the target"),
             target_requests: counter("target_requests", "Requests sent to the target"),
             target_limit,
+            exposure,
             connections_opened: counter("target_connections", "Connections opened to the target"),
             repeats: counter("repeats", "Attempts beyond the first of a request"),
             links_opened: counter("links", "Links to other nodes that were opened"),
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -20,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::peers::directory::{Directory, Link, Peer};
 use crate::peers::membership::{Membership, node_of};
+use crate::peers::rollout::{RolloutSettings, Rollouts};
 use crate::peers::serve;
 
 /// A link is closed after 2.5 s without a packet, so that a peer that was cut off is linked again
@@ -61,6 +62,8 @@
     pub service: Name,
     /// Whether the whole deployment starts for the first time. A hint from the settings file.
     pub first_start: bool,
+    /// What roll-outs need. `None` where the platform has none.
+    pub rollouts: Option<RolloutSettings>,
 }
 
 /// The other nodes and the links to them.
@@ -78,6 +81,8 @@
     /// The load and the results of the target on this VM, as for those of the peers.
     pub own_view: RefCell<TargetView>,
     pub(super) membership: Membership,
+    /// The roll-outs that this node coordinates.
+    pub(super) rollouts: Rollouts,
     /// The services that requests used, and when, sorted by name.
     pub(super) used_services: RefCell<Vec<(Name, Time)>>,
     /// Attempts of peers that are being handled here; see [`Peers::track_serving`].
@@ -107,10 +112,11 @@
         let socket = UdpSocket::bind(settings.bind)?;
         let runtime = Arc::new(TokioRuntime);
         let endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)?;
-        let PeerSettings { node, service, first_start, .. } = settings;
+        let PeerSettings { node, service, first_start, rollouts, .. } = settings;
         let now = clock.now();
         let peers = Rc::new(Peers {
             membership: Membership::open(now, &node, service, first_start),
+            rollouts: Rollouts::open(rollouts),
             local_node: node,
             first_start,
             endpoint,
@@ -133,6 +139,10 @@
         tokio::task::spawn_local(peers.clone().send_crash_notices());
         tokio::task::spawn_local(peers.clone().run_membership());
         tokio::task::spawn_local(peers.clone().run_selection());
+        if peers.rollouts.is_enabled() {
+            peers.guard.enable_rollouts();
+            tokio::task::spawn_local(peers.clone().report_evidence());
+        }
         Ok(peers)
     }
 
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -6,8 +6,10 @@
 mod membership;
 mod registry;
 mod reports;
+mod rollout;
 mod selection;
 mod serve;
 
 pub use directory::Peer;
 pub use links::{PeerSettings, Peers};
+pub use rollout::RolloutSettings;
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -110,9 +110,12 @@
             let rules = peers.rules.current();
             Reply::Rules(rules.map(|rules| Box::new((*rules).clone())))
         }
-        // No node counts the requests of workspaces or coordinates roll-outs yet.
+        // No node counts the requests of workspaces yet.
         Frame::Tokens(_) => Reply::Tokens(Vec::new()),
-        Frame::Evidence(_) => Reply::Exposure(None),
+        Frame::Evidence(report) => {
+            let name = peer.node().name;
+            Reply::Exposure(peers.handle_evidence(&name, *report))
+        }
         Frame::FetchNodes => Reply::Nodes(peers.nodes()),
         Frame::Sync(summary) => peers.differing_members(&summary),
         Frame::Members(members) => {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -9,7 +9,7 @@
 use gumdrop::Options;
 use platform::settings::{self, FILE_VARIABLE, Settings};
 use platform::store::StoreClient;
-use policy::{RetryBound, Shutdown};
+use policy::{ExposureLimit, RetryBound, Shutdown};
 use runtime::{Clock, wall_ms};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -158,11 +158,16 @@
     let link = SocketAddr::new(settings.ip, settings.port_range.0);
     let address = args.advertise.unwrap_or(link);
     let node = Node { name: settings.name.clone(), data_centre, address, started: wall_ms() };
+    let store = StoreClient::new(settings.store_address);
     let peer_settings = peers::PeerSettings {
         node,
         bind: link,
         service: settings.service.clone(),
         first_start: settings.first_start,
+        rollouts: settings.exposure.map(|bounds| peers::RolloutSettings {
+            store,
+            limit: ExposureLimit { share: bounds.share, slack: bounds.slack },
+        }),
     };
     let peers =
         Peers::spawn(peer_settings, clock, ruleset.clone(), guard.clone(), metrics.clone())?;
@@ -175,7 +180,6 @@
         settings.service.clone(),
         retry_bound(settings),
     );
-    let store = StoreClient::new(settings.store_address);
     let watcher = peers.clone();
     let should_watch = move || watcher.should_watch();
     tokio::task::spawn_local(configuration::watch_table(store, ruleset, should_watch));
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -16,8 +16,8 @@
 pub use key::Key;
 pub use parse::{Fault, parse};
 pub use routing::{
-    CallerLimits, Part, Repeat, Rollout, RouteRule, Routing, Ruleset, ServiceRule, set_out,
-    set_rollout,
+    CallerLimits, Part, Repeat, Rollout, RolloutState, RouteRule, Routing, Ruleset, ServiceRule,
+    set_out, set_rollout,
 };
 pub use target::{Announcement, TargetState};
 pub use workspace::{KeyDigest, Quota, Workspace, Workspaces};
--- a/crates/world/src/routing.rs
+++ b/crates/world/src/routing.rs
@@ -1,5 +1,6 @@
 //! The routing table: routes by host and path prefix, their services, and limits for callers.
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::{Name, Workspaces};
@@ -185,6 +186,19 @@
     pub revision: u64,
 }
 
+/// The state of a roll-out, as the store has it.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+pub enum RolloutState {
+    /// There is no verdict yet.
+    Running,
+    /// The version serves all requests.
+    Completed,
+    /// The version serves none.
+    RolledBack,
+}
+
 impl Ruleset {
     /// Returns whether a data centre is out of service.
     pub fn is_out(&self, data_centre: &str) -> bool {
