--- a/crates/policy/src/rollout/coordinator.rs
+++ b/crates/policy/src/rollout/coordinator.rs
@@ -4,7 +4,7 @@
 use world::{Name, Rollout, RolloutState};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::rollout::evidence::{EvidenceReport, RouteEvidence};
+use crate::rollout::evidence::{EvidenceReport, RouteEvidence, class_end_us};
 use crate::rollout::exposure::ExposureGrant;
 use crate::rollout::verdict::{Finding, RouteTests, THRESHOLD};
 use crate::{Member, Time};
@@ -12,11 +12,13 @@
 /// The time after its start in which the coordinator collects the counts of all guards before it tests
 /// them, in microseconds.
 const COLLECT_US: u64 = 400_000;
+/// Stands for all routes of a service among its tests.
+const ALL_ROUTES: u64 = u64::MAX;
 /// The time for which a grant holds, in microseconds: two intervals of reports.
 const GRANT_US: u64 = 600_000;
 /// The time in which a target may use up what is left of the exposure, in seconds: so that little is
 /// sent beyond it before the next report.
-const SPEND_S: f64 = 0.5;
+const SPEND_S: f64 = 1.0;
 /// The share of the bound's rate that the trial uses. The rest is for the ramp.
 const TRIAL_SHARE: f64 = 0.8;
 /// The share of the bound's slack that the trial uses.
@@ -25,14 +27,19 @@
 const FRESH_US: u64 = 1_200_000;
 /// The use of a target's slots that a trial aims at.
 const TRIAL_USE: f64 = 0.6;
+/// The time from a request to its guard's next grant, in seconds.
+const UNSEEN_S: f64 = 0.35;
+/// What is left of the exposure for which one more target is added to the trial, in seconds of the
+/// service's requests.
+const UNUSED_S: f64 = 0.1;
 /// The use of the new targets' slots up to which they have room for all that runs.
 const ROOM_USE: f64 = 0.8;
 /// When the trial may end, by the answers that it needs, as a share of the period.
-const TRIAL_ENDS: [(f64, u64); 3] = [(0.5, 60), (0.62, 10), (0.8, 1)];
+const TRIAL_ENDS: [(f64, u64); 4] = [(0.5, 100), (0.55, 50), (0.62, 25), (0.7, 5)];
 /// A sum up to which a test is quiet, as a share of its threshold.
-const QUIET: f64 = 0.5;
+const QUIET: f64 = 0.25;
 /// The least length of the ramp, in microseconds.
-const RAMP_US: u64 = 1_000_000;
+const RAMP_US: u64 = 600_000;
 /// The share of the period that the ramp takes.
 const RAMP_SHARE: f64 = 0.08;
 /// The least and the longest wait for what runs at the other versions, in microseconds.
@@ -190,40 +197,53 @@
 
     /// Adds what a guard reported since its earlier counts.
     fn count(&mut self, now: Time, at: usize, earlier: &[RouteEvidence]) {
-        let Reporter { name, last, .. } = &self.reporters[at];
-        let is_new = last.version == self.order.version;
-        let mut lone = false;
-        let mut is_bad = false;
+        let Reporter { name, last, lone, .. } = &self.reporters[at];
+        let (name, is_lone, is_new) = (name.clone(), *lone, last.version == self.order.version);
+        let mut all = RouteEvidence { route: ALL_ROUTES, ..RouteEvidence::default() };
+        let mut fresh: Vec<RouteEvidence> = Vec::new();
         for counts in &last.routes {
             let before = earlier.binary_search_by_key(&counts.route, |entry| entry.route);
-            let fresh = match before {
-                Ok(before) => counts.since(&earlier[before]),
-                Err(_) => counts.clone(),
-            };
-            let test = match self.tests.binary_search_by_key(&fresh.route, |test| test.route) {
-                Ok(test) => test,
-                Err(test) => {
-                    self.tests.insert(test, RouteTests::new(fresh.route));
-                    test
-                }
-            };
-            self.requests += fresh.sent;
-            if !is_new {
-                self.tests[test].add_other(now, &fresh);
-                continue;
-            }
-            self.exposed += fresh.sent;
-            self.answers += fresh.failed + fresh.times.iter().map(|n| u64::from(*n)).sum::<u64>();
-            match self.tests[test].add_new(name, &fresh) {
-                Some(Finding::Bad) => is_bad = true,
-                Some(Finding::Lone(found)) => lone |= found == *name,
-                None => {}
+            fresh.push(before.map_or(counts.clone(), |before| counts.since(&earlier[before])));
+            all.add(&fresh[fresh.len() - 1]);
+        }
+        self.requests += all.sent;
+        if is_new {
+            self.exposed += all.sent;
+            self.answers += all.failed + all.times.iter().map(|n| u64::from(*n)).sum::<u64>();
+        }
+        fresh.push(all);
+        if !is_new {
+            fresh.iter().for_each(|counts| self.test_of(counts.route).add_other(now, counts));
+        } else if !is_lone {
+            let found = |counts: &RouteEvidence| self.test_of(counts.route).add_new(&name, counts);
+            let findings: Vec<Finding> = fresh.iter().filter_map(found).collect();
+            self.conclude(now, at, &findings);
+        }
+    }
+
+    /// Returns the tests of a route.
+    fn test_of(&mut self, route: u64) -> &mut RouteTests {
+        let at = match self.tests.binary_search_by_key(&route, |test| test.route) {
+            Ok(at) => at,
+            Err(at) => {
+                self.tests.insert(at, RouteTests::new(route));
+                at
             }
+        };
+        &mut self.tests[at]
+    }
+
+    /// Acts on what the answers of one target show.
+    fn conclude(&mut self, now: Time, at: usize, findings: &[Finding]) {
+        let mut is_bad = findings.contains(&Finding::Bad);
+        if findings.contains(&Finding::Lone) {
+            // A second such target, or no other one, shows that it is the version.
+            is_bad |= self.reporters.iter().any(|reporter| reporter.lone);
+            self.reporters[at].lone = true;
+            is_bad |= self.takers(now).all(|reporter| reporter.lone);
+            self.tests.iter_mut().for_each(RouteTests::forget_new);
         }
-        self.reporters[at].lone |= lone;
-        let all_lone = self.takers(now).all(|reporter| reporter.lone);
-        let is_decided = matches!(self.phase, Phase::Completed | Phase::RolledBack);
-        if !is_decided && (is_bad || lone && all_lone) {
+        if is_bad && !self.has_verdict() {
             self.enter(now, Phase::RolledBack);
         }
     }
@@ -354,22 +374,26 @@
             self.takers(now).filter(|reporter| !reporter.lone).collect();
         takers.sort_by_key(|reporter| (reporter.last.cold, &reporter.name));
         let elapsed_s = (now.since(self.begun) as f64 / 1e6).max(1.0);
-        let per_s = TRIAL_SHARE * share * self.requests as f64 / elapsed_s;
+        let service_per_s = self.requests as f64 / elapsed_s;
         let slots = takers.first().map_or(1, |reporter| reporter.last.slots.max(1));
-        let most = (per_s * self.usual_us() / 1e6 / (TRIAL_USE * f64::from(slots))).ceil();
-        let count = (most as usize).clamp(1, takers.len().max(1));
+        let busy = TRIAL_SHARE * share * service_per_s * self.usual_us() / 1e6;
+        let needed = (busy / (TRIAL_USE * f64::from(slots))).ceil();
+        // Where a few targets do not draw the exposure, more do.
+        let unused = left / (service_per_s * UNUSED_S).max(1.0);
+        let count = ((needed + unused) as usize).clamp(1, takers.len().max(1));
         let name = &self.reporters[at].name;
         let is_chosen = takers.iter().take(count).any(|reporter| reporter.name == *name);
-        if is_chosen && left >= 1.0 { left / count as f64 / SPEND_S } else { 0.0 }
+        // Until the next report, no more is sent than reaches the service.
+        let unseen = service_per_s * UNSEEN_S;
+        let part = (left / count as f64).max(left - unseen);
+        if is_chosen && left >= 1.0 { part / SPEND_S } else { 0.0 }
     }
 
-    /// Returns the time that half of the other versions' answers take, over all routes, in
-    /// microseconds.
+    /// Returns the time that half of the other versions' answers take, in microseconds; 0 if not
+    /// known.
     fn usual_us(&self) -> f64 {
-        let usual = self.tests.iter().map(RouteTests::usual_us);
-        let (sum, count) = usual
-            .fold((0.0, 0.0), |(sum, count), (us, answers)| (sum + us * answers, count + answers));
-        sum / f64::max(count, 1.0)
+        let all = self.tests.last().filter(|test| test.route == ALL_ROUTES);
+        all.and_then(RouteTests::usual_class).map_or(0.0, class_end_us)
     }
 
     fn fresh(&self, now: Time) -> impl Iterator<Item = &Reporter> {
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 use world::Name;
 
+use crate::Time;
+
 /// The number of classes of answers by their time.
 pub(super) const TIME_CLASSES: usize = 32;
 
@@ -40,9 +42,23 @@
     pub cold: u64,
     /// The other answers by their time in the target, in steps of half a power of two from 1 ms on.
     pub times: Vec<u32>,
+    /// Requests that run, by how long they have, in the same steps. Not a count since the order.
+    pub running: Vec<u32>,
 }
 
 impl RouteEvidence {
+    /// Adds counts of another route.
+    pub(super) fn add(&mut self, other: &RouteEvidence) {
+        self.sent += other.sent;
+        self.failed += other.failed;
+        self.cold += other.cold;
+        for (own, others) in [(&mut self.times, &other.times), (&mut self.running, &other.running)]
+        {
+            own.resize(own.len().max(others.len()), 0);
+            own.iter_mut().zip(others).for_each(|(count, more)| *count += more);
+        }
+    }
+
     /// Returns what was counted since `earlier`, or all if the counts began anew.
     pub(super) fn since(&self, earlier: &RouteEvidence) -> RouteEvidence {
         if self.sent < earlier.sent || self.failed < earlier.failed || self.cold < earlier.cold {
@@ -56,6 +72,7 @@
             failed: self.failed - earlier.failed,
             cold: self.cold - earlier.cold,
             times: times.map(|(at, count)| count.saturating_sub(before(at))).collect(),
+            running: self.running.clone(),
         }
     }
 }
@@ -71,40 +88,82 @@
     1e3 * 2f64.powf((class + 1) as f64 / 2.0)
 }
 
+/// Adds one to a class, in a list that ends with the last class that has any.
+fn add(classes: &mut Vec<u32>, us: u64) {
+    let class = time_class(us);
+    classes.resize(classes.len().max(class + 1), 0);
+    classes[class] += 1;
+}
+
+/// A request that runs.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    id: u64,
+    route: u64,
+    begun: Time,
+    /// Whether the target was cold at its start.
+    cold: bool,
+}
+
 /// The counts of one guard.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
-    /// Sorted by route.
+    /// Sorted by route. What runs is not counted here.
     routes: Vec<RouteEvidence>,
+    /// Sorted by id.
+    running: Vec<Running>,
+    /// The id of the last request.
+    last_id: u64,
 }
 
 impl Evidence {
-    /// Records that a request of a route is sent to the target.
-    pub fn sent(&mut self, route: u64) {
+    /// Records that a request of a route is sent to the target, which is cold or not. Returns an id by
+    /// which its end is recorded.
+    pub fn sent(&mut self, now: Time, route: u64, cold: bool) -> u64 {
         self.entry(route).sent += 1;
+        self.last_id += 1;
+        self.running.push(Running { id: self.last_id, route, begun: now, cold });
+        self.last_id
     }
 
-    /// Records that the target answered with success after `took_us` microseconds, and whether it was
-    /// cold.
-    pub fn answered(&mut self, route: u64, took_us: u64, cold: bool) {
-        let entry = self.entry(route);
-        if cold {
-            entry.cold += 1;
-            return;
+    /// Records that the target answered a request with success, or that it was cancelled after a time
+    /// that shows that it is slow.
+    pub fn answered(&mut self, now: Time, id: u64) {
+        let Some(running) = self.withdraw(id) else { return };
+        let entry = self.entry(running.route);
+        match running.cold {
+            true => entry.cold += 1,
+            false => add(&mut entry.times, now.since(running.begun)),
         }
-        let class = time_class(took_us);
-        entry.times.resize(entry.times.len().max(class + 1), 0);
-        entry.times[class] += 1;
     }
 
     /// Records that the target failed a request, or gave no usable answer.
-    pub fn failed(&mut self, route: u64) {
-        self.entry(route).failed += 1;
+    pub fn failed(&mut self, id: u64) {
+        if let Some(running) = self.withdraw(id) {
+            self.entry(running.route).failed += 1;
+        }
+    }
+
+    /// Records that a request ended in a way that tells nothing of the target.
+    pub fn cancelled(&mut self, id: u64) {
+        self.withdraw(id);
     }
 
     /// Returns the counts, sorted by route.
-    pub fn routes(&self) -> &[RouteEvidence] {
-        &self.routes
+    pub fn routes(&self, now: Time) -> Vec<RouteEvidence> {
+        let mut routes = self.routes.clone();
+        for running in self.running.iter().filter(|running| !running.cold) {
+            let found = routes.binary_search_by_key(&running.route, |entry| entry.route);
+            if let Ok(at) = found {
+                add(&mut routes[at].running, now.since(running.begun));
+            }
+        }
+        routes
+    }
+
+    fn withdraw(&mut self, id: u64) -> Option<Running> {
+        let at = self.running.binary_search_by_key(&id, |running| running.id).ok()?;
+        Some(self.running.remove(at))
     }
 
     fn entry(&mut self, route: u64) -> &mut RouteEvidence {
--- a/crates/policy/src/rollout/exposure.rs
+++ b/crates/policy/src/rollout/exposure.rs
@@ -6,7 +6,7 @@
 use crate::{Time, TokenBucket};
 
 /// What a target may be sent at once after a pause, in seconds of its rate.
-const BURST_S: f64 = 0.25;
+const BURST_S: f64 = 1.0;
 
 /// What the coordinator of a roll-out lets a guard send to its target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/policy/src/rollout/verdict.rs
+++ b/crates/policy/src/rollout/verdict.rs
@@ -3,29 +3,35 @@
 use world::Name;
 
 use crate::Time;
-use crate::rollout::evidence::{RouteEvidence, TIME_CLASSES, class_end_us};
+use crate::rollout::evidence::{RouteEvidence, TIME_CLASSES};
 
 /// The sum of log-likelihood ratios at which a test finds a version bad: the logarithm of 2,000
 /// answers, over a false verdict in 1 of 1,000 tests of so many.
 pub(super) const THRESHOLD: f64 = 14.5;
 /// The time after which answers of the other versions count for a third, in microseconds.
-const MEMORY_US: f64 = 3e6;
-/// How much more often than the others a good version may answer badly.
+const MEMORY_US: f64 = 4e6;
+/// How much more often than the others a good version may fail.
 const TOLERANCE: f64 = 1.5;
 /// A share of failures that is always tolerated.
 const LEAST_FAILED: f64 = 0.03;
-/// A share of slow answers that is always tolerated.
-const LEAST_SLOW: f64 = 0.15;
-/// The share of the answers that a good version gives which a bad one answers badly.
+/// The share of the answers that a good version gives which a bad one fails or delays.
 const BAD_SHARE: f64 = 0.4;
-/// The share of the others' answers that are not slow.
-const USUAL_SHARE: f64 = 0.9;
-/// How many times longer than half of the others' answers one takes that is slow, at least.
-const SLOW_RATIO: f64 = 2.0;
-/// Answers of the others from which on their times are used.
+/// A share of answers that is tolerated to take twice as long.
+const USUAL_SHARE: f64 = 0.1;
+/// The classes by which tolerated answers are later.
+const USUAL_SHIFT: usize = 2;
+/// The classes by which the delayed answers of a bad version are later: 4 and 8 times the time.
+const BAD_SHIFTS: [usize; 2] = [4, 6];
+/// The most that one answer counts for a bad version, and against it.
+const MOST_BY_TIME: (f64, f64) = (2.6, 0.5);
+/// What an answer counts from which on it is bad.
+const LATE: f64 = 1.0;
+/// The others' answers from which on their times are used.
 const LEAST_TIMES: f64 = 20.0;
 /// Answers as many as which a share is estimated with, before there are any.
 const PRIOR: f64 = 10.0;
+/// The same for times, over all classes.
+const TIME_PRIOR: f64 = 2.0;
 /// The share of bad answers that may come from one of several targets.
 const LONE_SHARE: f64 = 0.8;
 
@@ -38,6 +44,14 @@
     times: [f64; TIME_CLASSES],
 }
 
+/// What answers count for a bad version, by the classes of their times.
+struct TimeRatios {
+    /// Answers that ended.
+    ended: [f64; TIME_CLASSES],
+    /// Requests that have run for so long.
+    running: [f64; TIME_CLASSES],
+}
+
 impl Baseline {
     fn add(&mut self, now: Time, counts: &RouteEvidence) {
         let kept = (-(now.since(self.updated) as f64) / MEMORY_US).exp();
@@ -54,77 +68,137 @@
         (self.failed + PRIOR * LEAST_FAILED) / (self.failed + self.answered + PRIOR)
     }
 
-    /// Returns the class that `share` of the answers do not exceed.
-    fn quantile(&self, share: f64) -> usize {
-        let most = self.times.iter().sum::<f64>() * share;
+    fn count(&self) -> f64 {
+        self.times.iter().sum()
+    }
+
+    /// Returns the class that half of the answers do not exceed.
+    fn median(&self) -> usize {
+        let half = self.count() / 2.0;
         let mut sum = 0.0;
         let reaches = |count: &f64| {
             sum += count;
-            sum >= most
+            sum >= half
         };
         self.times.iter().position(reaches).unwrap_or(TIME_CLASSES - 1)
     }
 
-    /// Returns the last class that is not slow. `None` while there are too few answers.
-    fn usual_class(&self) -> Option<usize> {
-        if self.times.iter().sum::<f64>() < LEAST_TIMES {
+    /// Returns the shares of the classes, smoothed.
+    fn shares(&self) -> [f64; TIME_CLASSES] {
+        let (count, last) = (self.count(), TIME_CLASSES - 1);
+        std::array::from_fn(|at| {
+            let beside = self.times[at.saturating_sub(1)] + self.times[(at + 1).min(last)];
+            let smooth = self.times[at] * 0.5 + beside * 0.25;
+            (smooth + TIME_PRIOR / TIME_CLASSES as f64) / (count + TIME_PRIOR)
+        })
+    }
+
+    /// Returns what times count for a version that delays answers. `None` while there are too few
+    /// answers.
+    fn time_ratios(&self) -> Option<TimeRatios> {
+        if self.count() < LEAST_TIMES {
             return None;
         }
-        let longest_us = class_end_us(self.quantile(0.5)) * SLOW_RATIO;
-        let mut class = self.quantile(USUAL_SHARE);
-        while class + 1 < TIME_CLASSES && class_end_us(class) < longest_us {
-            class += 1;
-        }
-        Some(class)
+        let shares = self.shares();
+        let later = |at: usize, shift: usize| at.checked_sub(shift).map_or(0.0, |at| shares[at]);
+        let good: [f64; TIME_CLASSES] = std::array::from_fn(|at| {
+            (1.0 - USUAL_SHARE) * shares[at] + USUAL_SHARE * later(at, USUAL_SHIFT)
+        });
+        let bad: [f64; TIME_CLASSES] = std::array::from_fn(|at| {
+            let shifted: f64 = BAD_SHIFTS.iter().map(|shift| later(at, *shift)).sum();
+            (1.0 - BAD_SHARE) * shares[at] + BAD_SHARE * shifted / BAD_SHIFTS.len() as f64
+        });
+        let (most, least) = MOST_BY_TIME;
+        let ratio = |bad: f64, good: f64| (bad / good).ln().clamp(-least, most);
+        // Of what runs, only that counts which is late for a good version.
+        let if_late = |ratio: f64| if ratio >= LATE { ratio } else { 0.0 };
+        let tail = |shares: &[f64; TIME_CLASSES], at: usize| shares[at..].iter().sum::<f64>();
+        Some(TimeRatios {
+            ended: std::array::from_fn(|at| ratio(bad[at], good[at])),
+            running: std::array::from_fn(|at| if_late(ratio(tail(&bad, at), tail(&good, at)))),
+        })
     }
+}
+
+/// What some answers of a target count.
+#[derive(Clone, Copy, Debug, Default)]
+struct Gain {
+    /// The sum of their log-likelihood ratios.
+    sum: f64,
+    /// Those that count for a bad version.
+    bad: u64,
+}
 
-    fn slow_share(&self, usual: usize) -> f64 {
-        let slow: f64 = self.times[usual + 1..].iter().sum();
-        slow / self.times.iter().sum::<f64>().max(1.0)
+impl Gain {
+    /// Adds up classes of times.
+    fn of_times(times: &[u32], ratios: &[f64; TIME_CLASSES]) -> Gain {
+        let mut gain = Gain::default();
+        for (count, ratio) in times.iter().zip(ratios) {
+            gain.sum += f64::from(*count) * ratio;
+            gain.bad += if *ratio >= LATE { u64::from(*count) } else { 0 };
+        }
+        gain
     }
 }
 
 /// A cumulative sum (Page 1954) of the log-likelihood ratio between a bad and a good version.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Test {
+struct Test {
     /// At least 0.
-    pub(super) sum: f64,
+    sum: f64,
     /// Bad answers by target since the sum was 0, sorted by the guard's name.
     bad: Vec<(Name, u64)>,
+    /// What requests that still run count by now, sorted by the guard's name.
+    running: Vec<(Name, Gain)>,
 }
 
 impl Test {
-    /// Adds answers of one target, where the others answer badly with the probability `usual`.
-    fn add(&mut self, guard: &Name, bad: u64, good: u64, usual: f64) {
-        let usual = usual.min(0.9);
-        let expected = usual + BAD_SHARE * (1.0 - usual);
-        let (by_bad, by_good) = ((expected / usual).ln(), ((1.0 - expected) / (1.0 - usual)).ln());
-        self.sum = (self.sum + bad as f64 * by_bad + good as f64 * by_good).max(0.0);
+    /// Adds answers of one target.
+    fn add(&mut self, guard: &Name, gain: Gain) {
+        self.sum = (self.sum + gain.sum).max(0.0);
         if self.sum == 0.0 {
             self.bad.clear();
             return;
         }
         match self.bad.binary_search_by(|(name, _)| name.cmp(guard)) {
-            Ok(at) => self.bad[at].1 += bad,
-            Err(at) => self.bad.insert(at, (guard.clone(), bad)),
+            Ok(at) => self.bad[at].1 += gain.bad,
+            Err(at) => self.bad.insert(at, (guard.clone(), gain.bad)),
         }
     }
 
-    /// Returns the target that gave nearly all bad answers.
-    fn lone(&self) -> Option<&Name> {
-        let sum: u64 = self.bad.iter().map(|(_, bad)| bad).sum();
-        let (name, most) = self.bad.iter().max_by_key(|(_, bad)| *bad)?;
-        (*most as f64 > LONE_SHARE * sum as f64).then_some(name)
+    /// Sets what requests that run at a target count.
+    fn set_running(&mut self, guard: &Name, gain: Gain) {
+        match self.running.binary_search_by(|(name, _)| name.cmp(guard)) {
+            Ok(at) => self.running[at].1 = gain,
+            Err(at) => self.running.insert(at, (guard.clone(), gain)),
+        }
+    }
+
+    /// Returns the sum with what runs.
+    fn total(&self) -> f64 {
+        self.sum + self.running.iter().map(|(_, gain)| gain.sum).sum::<f64>()
+    }
+
+    /// Returns whether nearly all bad answers are of one target.
+    fn is_lone(&self, guard: &Name) -> bool {
+        let running = self.running.iter().map(|(name, gain)| (name, gain.bad));
+        let all = running.chain(self.bad.iter().map(|(name, bad)| (name, *bad)));
+        let (mut sum, mut own) = (0, 0);
+        for (name, bad) in all {
+            sum += bad;
+            own += if name == guard { bad } else { 0 };
+        }
+        own as f64 > LONE_SHARE * sum as f64
     }
 }
 
 /// What the tests of one route find.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Finding {
     /// The version answers badly.
     Bad,
-    /// One target does, by its guard's name.
-    Lone(Name),
+    /// The target of which answers were added does, but not the others.
+    Lone,
 }
 
 /// The tests of one route.
@@ -132,8 +206,8 @@
 pub(super) struct RouteTests {
     pub(super) route: u64,
     others: Baseline,
-    pub(super) failures: Test,
-    pub(super) slow: Test,
+    failures: Test,
+    delays: Test,
 }
 
 impl RouteTests {
@@ -149,28 +223,37 @@
     /// Adds answers of a target of the ordered version, and returns what they show.
     pub(super) fn add_new(&mut self, guard: &Name, counts: &RouteEvidence) -> Option<Finding> {
         let good = answered(counts) + counts.cold;
-        let usual = (self.others.failed_share() * TOLERANCE).max(LEAST_FAILED);
-        self.failures.add(guard, counts.failed, good, usual);
-        if let Some(class) = self.others.usual_class() {
-            let late = counts.times.iter().skip(class + 1).map(|count| u64::from(*count));
-            let late: u64 = late.sum();
-            let usual = (self.others.slow_share(class) * TOLERANCE).max(LEAST_SLOW);
-            self.slow.add(guard, late, answered(counts) - late, usual);
+        let usual = (self.others.failed_share() * TOLERANCE).clamp(LEAST_FAILED, 0.9);
+        let bad = usual + BAD_SHARE * (1.0 - usual);
+        let sum = counts.failed as f64 * (bad / usual).ln()
+            + good as f64 * ((1.0 - bad) / (1.0 - usual)).ln();
+        self.failures.add(guard, Gain { sum, bad: counts.failed });
+        if let Some(ratios) = self.others.time_ratios() {
+            self.delays.add(guard, Gain::of_times(&counts.times, &ratios.ended));
+            self.delays.set_running(guard, Gain::of_times(&counts.running, &ratios.running));
+        }
+        let tests = [&self.failures, &self.delays];
+        let test = tests.into_iter().find(|test| test.total() >= THRESHOLD)?;
+        if !test.is_lone(guard) {
+            return Some(Finding::Bad);
         }
-        let tests = [&self.failures, &self.slow];
-        let test = tests.into_iter().find(|test| test.sum >= THRESHOLD)?;
-        Some(test.lone().map_or(Finding::Bad, |name| Finding::Lone(name.clone())))
+        Some(Finding::Lone)
     }
 
     /// Returns the greater sum of the tests.
     pub(super) fn sum(&self) -> f64 {
-        self.failures.sum.max(self.slow.sum)
+        self.failures.total().max(self.delays.total())
+    }
+
+    /// Forgets the answers of the ordered version.
+    pub(super) fn forget_new(&mut self) {
+        (self.failures, self.delays) = (Test::default(), Test::default());
     }
 
-    /// Returns the time that half of the others' answers take, in microseconds, and their number.
-    pub(super) fn usual_us(&self) -> (f64, f64) {
-        let count = self.others.times.iter().sum::<f64>();
-        (class_end_us(self.others.quantile(0.5)), count)
+    /// Returns the class of the time that half of the others' answers do not exceed. `None` while there
+    /// are too few.
+    pub(super) fn usual_class(&self) -> Option<usize> {
+        (self.others.count() >= LEAST_TIMES).then(|| self.others.median())
     }
 }
 
--- a/crates/sidecar/src/guard/rollout.rs
+++ b/crates/sidecar/src/guard/rollout.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use http::StatusCode;
 use policy::{Evidence, EvidenceReport, ExposureGrant, Time};
 use wire::link::Attempt;
 use world::Name;
@@ -85,7 +84,7 @@
             slots: if is_usable { admission.slots() } else { 0 },
             running: admission.running(),
             cold: admission.is_cold(now),
-            routes: self.rollout.evidence.borrow().routes().to_vec(),
+            routes: self.rollout.evidence.borrow().routes(now),
         };
         Some((report, admission.exposure().has_verdict()))
     }
@@ -116,19 +115,10 @@
             (order.revision, version.clone(), admission.is_cold(now))
         };
         let route = self.route_of(attempt);
-        self.rollout.evidence.borrow_mut().sent(route);
+        let id = self.rollout.evidence.borrow_mut().sent(now, route, cold);
         let slow_us = attempt.work_us.saturating_mul(CANCELLED_RATIO);
         let guard = self.clone();
-        Some(TrackedAttempt {
-            guard,
-            order,
-            version,
-            route,
-            begun: now,
-            cold,
-            slow_us,
-            ended: false,
-        })
+        Some(TrackedAttempt { guard, order, version, id, begun: now, slow_us, ended: false })
     }
 
     /// Returns what identifies the route of an attempt; 0 if the ruleset has none.
@@ -150,10 +140,9 @@
     order: u64,
     /// The target's version at its start.
     version: Name,
-    route: u64,
+    /// Its id among the counts.
+    id: u64,
     begun: Time,
-    /// Whether the target was cold at its start.
-    cold: bool,
     /// The time from which on it is slow, in microseconds.
     slow_us: u64,
     /// Whether the end was counted.
@@ -164,22 +153,20 @@
     /// Counts the end of the attempt.
     pub(super) fn ended(mut self, outcome: &Outcome) {
         self.ended = true;
-        let is_failure = |status: StatusCode| status.is_server_error();
+        let now = self.guard.clock.now();
         match outcome {
-            Outcome::NotRun { .. } => {}
-            Outcome::Answer(answer) if !is_failure(answer.status) => {
-                self.count(|evidence, this| {
-                    evidence.answered(this.route, answer.took_us, this.cold);
-                });
+            Outcome::NotRun { .. } => self.count(|evidence, id| evidence.cancelled(id)),
+            Outcome::Answer(answer) if !answer.status.is_server_error() => {
+                self.count(|evidence, id| evidence.answered(now, id));
             }
             Outcome::Answer(_) | Outcome::Lost { .. } => {
-                self.count(|evidence, this| evidence.failed(this.route));
+                self.count(|evidence, id| evidence.failed(id));
             }
         }
     }
 
     /// Counts the end, unless the order or the target's version is another one now.
-    fn count(&self, add: impl FnOnce(&mut Evidence, &TrackedAttempt)) {
+    fn count(&self, add: impl FnOnce(&mut Evidence, u64)) {
         let now = self.guard.clock.now();
         let is_current = {
             let state = self.guard.state.borrow();
@@ -189,16 +176,20 @@
             })
         };
         if is_current {
-            add(&mut self.guard.rollout.evidence.borrow_mut(), self);
+            add(&mut self.guard.rollout.evidence.borrow_mut(), self.id);
         }
     }
 }
 
 impl Drop for TrackedAttempt {
     fn drop(&mut self) {
-        let ran_us = self.guard.clock.now().since(self.begun);
-        if !self.ended && ran_us >= self.slow_us.max(1) {
-            self.count(|evidence, this| evidence.answered(this.route, ran_us, this.cold));
+        if self.ended {
+            return;
+        }
+        let now = self.guard.clock.now();
+        match now.since(self.begun) >= self.slow_us.max(1) {
+            true => self.count(|evidence, id| evidence.answered(now, id)),
+            false => self.count(|evidence, id| evidence.cancelled(id)),
         }
     }
 }
