--- a/crates/policy/src/rollout/coordinator.rs
+++ b/crates/policy/src/rollout/coordinator.rs
@@ -23,6 +23,8 @@
 const TRIAL_SHARE: f64 = 0.8;
 /// The share of the bound's slack that the trial uses.
 const TRIAL_SLACK: f64 = 0.5;
+/// The same while all targets are cold, whose answers tell little.
+const COLD_SLACK: f64 = 0.1;
 /// The time after which a report is outdated, in microseconds.
 const FRESH_US: u64 = 1_200_000;
 /// The use of a target's slots that a trial aims at.
@@ -31,19 +33,32 @@
 const UNSEEN_S: f64 = 0.35;
 /// What is left of the exposure for which one more target is added to the trial, in seconds of the
 /// service's requests.
-const UNUSED_S: f64 = 0.1;
+const UNUSED_S: f64 = 0.5;
 /// The use of the new targets' slots up to which they have room for all that runs.
 const ROOM_USE: f64 = 0.8;
 /// When the trial may end, by the answers that it needs, as a share of the period.
 const TRIAL_ENDS: [(f64, u64); 4] = [(0.5, 100), (0.55, 50), (0.62, 25), (0.7, 5)];
+/// When the order is rolled back if the trial has not ended, as a share of the period.
+const LAST_TRIAL: f64 = 0.9;
 /// A sum up to which a test is quiet, as a share of its threshold.
 const QUIET: f64 = 0.25;
 /// The least length of the ramp, in microseconds.
 const RAMP_US: u64 = 600_000;
 /// The share of the period that the ramp takes.
 const RAMP_SHARE: f64 = 0.08;
+/// When the ramp may end before it has used up the exposure, as a share of the period.
+const LAST_RAMP: f64 = 0.8;
+/// The share of the exposure that the ramp uses up.
+const RAMP_SPENT: f64 = 0.9;
 /// The least and the longest wait for what runs at the other versions, in microseconds.
-const SWITCH_US: (u64, u64) = (400_000, 1_500_000);
+const SWITCH_US: u64 = 400_000;
+const SWITCH_MOST_US: u64 = 1_500_000;
+/// The longest such wait, as a share of the period.
+const SWITCH_SHARE: f64 = 0.12;
+/// The share of the service's nodes that must report for a version to get any request.
+const HALF: f64 = 0.5;
+/// The share of the service's nodes that must report for a version to be completed.
+const COMPLETE: f64 = 0.8;
 
 /// The bound on what a bad version is sent: a share of the service's requests, and some more.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -104,6 +119,8 @@
     opened: Time,
     /// When the order was given, as far as is known.
     begun: Time,
+    /// The time since then at the last step, in microseconds.
+    elapsed_us: u64,
     phase: Phase,
     phase_at: Time,
     /// Sorted by name.
@@ -116,7 +133,8 @@
     requests: u64,
     /// Of these, those that reached the ordered version.
     exposed: u64,
-    /// Answers of the ordered version that count.
+    /// Answers of the ordered version that count: not those of targets of which bad answers came from
+    /// one alone, nor those before it was found.
     answers: u64,
     /// The share of the service's nodes that are up and have reported.
     coverage: f64,
@@ -137,6 +155,7 @@
             limit,
             opened: now,
             begun: now,
+            elapsed_us: 0,
             phase: Phase::Trial,
             phase_at: now,
             reporters: Vec::new(),
@@ -179,7 +198,8 @@
                 at
             }
         };
-        if now.since(self.opened) < COLLECT_US && report.version == self.order.version {
+        let collects = now.since(self.opened) < COLLECT_US && !self.has_verdict();
+        if collects && report.version == self.order.version {
             self.reporters[at].at = now;
             return ExposureGrant { order: self.order.revision, per_s: 0.0, valid_us: GRANT_US };
         }
@@ -209,6 +229,8 @@
         self.requests += all.sent;
         if is_new {
             self.exposed += all.sent;
+        }
+        if is_new && !is_lone {
             self.answers += all.failed + all.times.iter().map(|n| u64::from(*n)).sum::<u64>();
         }
         fresh.push(all);
@@ -242,6 +264,7 @@
             self.reporters[at].lone = true;
             is_bad |= self.takers(now).all(|reporter| reporter.lone);
             self.tests.iter_mut().for_each(RouteTests::forget_new);
+            self.answers = 0;
         }
         if is_bad && !self.has_verdict() {
             self.enter(now, Phase::RolledBack);
@@ -250,8 +273,9 @@
 
     /// Goes on to the next phase where that is due. Also to be called without reports.
     pub fn advance(&mut self, now: Time) {
+        self.elapsed_us = now.since(self.begun);
         let period = self.order.period_us as f64;
-        let elapsed = now.since(self.begun) as f64 / period;
+        let elapsed = self.elapsed_us as f64 / period;
         let in_phase = now.since(self.phase_at);
         match self.phase {
             Phase::Trial => {
@@ -260,21 +284,21 @@
                     .any(|(share, answers)| elapsed >= *share && self.answers >= *answers);
                 if may_end && self.is_quiet() && self.has_room(now) {
                     self.enter(now, Phase::Ramp);
-                } else if elapsed >= 1.0 {
+                } else if elapsed >= LAST_TRIAL {
                     self.enter(now, Phase::RolledBack);
                 }
             }
             Phase::Ramp => {
                 let ramp_us = RAMP_US.max((period * RAMP_SHARE) as u64);
-                if in_phase >= ramp_us && self.is_quiet() && self.is_covered() && self.has_room(now)
-                {
+                let may_end = in_phase >= ramp_us && (self.is_spent() || elapsed >= LAST_RAMP);
+                if may_end && self.is_quiet() && self.is_covered(COMPLETE) && self.has_room(now) {
                     self.enter(now, Phase::Switch);
                 }
             }
             Phase::Switch => {
                 let is_idle = self.others(now).all(|reporter| reporter.last.running == 0);
-                let (least, most) = SWITCH_US;
-                if in_phase >= most || in_phase >= least && is_idle {
+                let most = SWITCH_MOST_US.min((period * SWITCH_SHARE) as u64);
+                if in_phase >= most || in_phase >= SWITCH_US && is_idle {
                     self.enter(now, Phase::Completing);
                 }
             }
@@ -368,13 +392,14 @@
     /// Returns the part of a target in what is left of the exposure, in requests a second.
     fn trial_rate(&self, now: Time, at: usize) -> f64 {
         let ExposureLimit { share, slack } = self.limit;
-        let allowed = TRIAL_SHARE * share * self.requests as f64 + TRIAL_SLACK * slack;
-        let left = allowed - self.exposed as f64;
         let mut takers: Vec<&Reporter> =
             self.takers(now).filter(|reporter| !reporter.lone).collect();
         takers.sort_by_key(|reporter| (reporter.last.cold, &reporter.name));
-        let elapsed_s = (now.since(self.begun) as f64 / 1e6).max(1.0);
-        let service_per_s = self.requests as f64 / elapsed_s;
+        let all_cold = takers.first().is_none_or(|reporter| reporter.last.cold);
+        let slack_share = if all_cold { COLD_SLACK } else { TRIAL_SLACK };
+        let allowed = TRIAL_SHARE * share * self.requests as f64 + slack_share * slack;
+        let left = allowed - self.exposed as f64;
+        let service_per_s = self.service_per_s();
         let slots = takers.first().map_or(1, |reporter| reporter.last.slots.max(1));
         let busy = TRIAL_SHARE * share * service_per_s * self.usual_us() / 1e6;
         let needed = (busy / (TRIAL_USE * f64::from(slots))).ceil();
@@ -386,7 +411,7 @@
         // Until the next report, no more is sent than reaches the service.
         let unseen = service_per_s * UNSEEN_S;
         let part = (left / count as f64).max(left - unseen);
-        if is_chosen && left >= 1.0 { part / SPEND_S } else { 0.0 }
+        if is_chosen && left >= 1.0 && self.is_covered(HALF) { part / SPEND_S } else { 0.0 }
     }
 
     /// Returns the time that half of the other versions' answers take, in microseconds; 0 if not
@@ -427,8 +452,20 @@
         self.tests.iter().all(|test| test.sum() < THRESHOLD * QUIET)
     }
 
-    fn is_covered(&self) -> bool {
-        self.coverage >= ROOM_USE
+    /// Returns whether nearly all that the bound is expected to allow was sent.
+    fn is_spent(&self) -> bool {
+        let ExposureLimit { share, slack } = self.limit;
+        let expected = self.service_per_s() * self.order.period_us as f64 / 1e6;
+        self.exposed as f64 >= RAMP_SPENT * (share * expected + slack)
+    }
+
+    fn is_covered(&self, share: f64) -> bool {
+        self.coverage >= share
+    }
+
+    /// Returns the requests a second that reached the service since the order.
+    fn service_per_s(&self) -> f64 {
+        self.requests as f64 / (self.elapsed_us as f64 / 1e6).max(1.0)
     }
 
     fn enter(&mut self, now: Time, phase: Phase) {
--- a/crates/policy/tests/rollout.rs
+++ b/crates/policy/tests/rollout.rs
@@ -222,20 +222,17 @@
                 break;
             }
         }
-        for at in 0..nodes.len() {
+        for (at, node) in nodes.iter_mut().enumerate() {
             if (now.0 + at as u64 * STEP_US).is_multiple_of(REPORT_US) {
                 coordinator.set_coverage(1.0);
-                let report = nodes[at].report(now, &order);
-                let grant = coordinator.report(now, &nodes[at].name, report);
-                nodes[at].exposure.granted(now, &grant);
+                let report = node.report(now, &order);
+                let grant = coordinator.report(now, &node.name, report);
+                node.exposure.granted(now, &grant);
             }
         }
         if let Some(state) = coordinator.due_state() {
             coordinator.set_stored(now, state);
         }
-        if std::env::var_os("SHOW").is_some() && seed == 0 && step % 50 == 0 {
-            println!("{}", coordinator.describe(now));
-        }
         if seen.state != coordinator.state() {
             seen.state = coordinator.state();
             seen.decided_s = now.0 as f64 / S as f64;
@@ -283,10 +280,11 @@
         let bound = |seen: &Seen| LIMIT.share * seen.requests as f64 + LIMIT.slack;
         let use_of = |seen: &Seen| seen.exposed as f64 / bound(seen);
         let used = runs.iter().map(use_of).fold(0.0, f64::max);
+        let beyond = runs.iter().filter(|seen| use_of(seen) > 1.0).count();
         let late: usize = runs.iter().map(|seen| seen.late).sum();
         println!(
             "{:24} {right} of {SEEDS} right, decided within {most:.1} s, {used:.2} of the bound, \
-             {late} late",
+             {beyond} beyond it, {late} late",
             case.name
         );
         if case.state == Completed {
--- a/crates/sidecar/src/peers/rollout.rs
+++ b/crates/sidecar/src/peers/rollout.rs
@@ -13,18 +13,22 @@
 use wire::link::{Frame, Node, Reply};
 use world::{Name, Rollout, RolloutState};
 
+use crate::peers::exchange;
 use crate::peers::links::Peers;
 use crate::peers::membership::node_of;
 
 /// Time between two reports of a guard while a roll-out runs.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// The same while the coordinator reads the store.
+const HOLD_INTERVAL: Duration = Duration::from_millis(50);
 /// The same once there is a verdict, in microseconds: a coordinator may still find that the store has
 /// another one.
 const LATE_INTERVAL_US: u64 = 1_000_000;
 /// How many periods after the order guards report.
 const REPORTED_PERIODS: u64 = 3;
-/// The longest wait for a coordinator's reply. A node that does not reply is avoided.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
+/// The longest wait for a link to a coordinator and for its reply, each. A node that does not reply is
+/// avoided; without a grant, little is lost meanwhile.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(800);
 /// The nodes that a guard asks in one interval, at most.
 const MOST_ASKED: usize = 3;
 /// How long a node that does not coordinate is not asked again, in microseconds.
@@ -92,8 +96,10 @@
         let mut rules = self.rules.subscribe();
         let mut avoided: Vec<(Name, Time)> = Vec::new();
         let mut reported = Time::default();
+        let mut pause = REPORT_INTERVAL;
         loop {
-            let _ = tokio::time::timeout(REPORT_INTERVAL, rules.changed()).await;
+            let _ = tokio::time::timeout(pause, rules.changed()).await;
+            pause = REPORT_INTERVAL;
             self.guard.update_rollout();
             let Some((report, has_verdict)) = self.guard.evidence() else { continue };
             let now = self.clock.now();
@@ -108,7 +114,12 @@
             reported = now;
             avoided.retain(|(_, until)| *until > now);
             match self.report_to_any(report, &mut avoided).await {
-                Some(grant) => self.guard.exposure_granted(&grant),
+                Some(grant) => {
+                    if grant.valid_us == HOLD_US {
+                        pause = HOLD_INTERVAL;
+                    }
+                    self.guard.exposure_granted(&grant);
+                }
                 None => tracing::debug!("rollout: no node coordinates the roll-out"),
             }
         }
@@ -129,8 +140,7 @@
             all.into_iter().take(MOST_ASKED).map(node_of).collect()
         };
         for node in nodes {
-            let reply = tokio::time::timeout(REPLY_TIMEOUT, self.report_to(&node, &report)).await;
-            if let Ok(Some(grant)) = reply {
+            if let Some(grant) = self.report_to(&node, &report).await {
                 return Some(grant);
             }
             avoided.push((node.name, self.clock.now().after(AVOID_US)));
@@ -153,7 +163,8 @@
             self.wait_for_link(&peer, REPLY_TIMEOUT).await;
         }
         let frame = Frame::Evidence(Box::new(report.clone()));
-        match self.request(&peer, &frame).await {
+        let reply = tokio::time::timeout(REPLY_TIMEOUT, self.request(&peer, &frame)).await;
+        match reply.unwrap_or(Err(exchange::Error::Slow)) {
             Ok(Reply::Exposure(grant)) => grant,
             Ok(_) => {
                 tracing::warn!(peer = &*node.name, "rollout: the reply is no grant");
