Merge roll-outs of a service's version

Conflicts: the admission's fields beside the split of its slowness; the tokens' and the evidence's replies; exports.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -11,7 +11,7 @@
 use self::queue::Waiting;
 use crate::room::{self, Reserve, Run, Turns, Urgency};
 use crate::slowness::Slowness;
-use crate::{Knee, NamedRate, Occupancy, Time, Warmth};
+use crate::{Exposure, Knee, NamedRate, Occupancy, Time, Warmth};
 
 /// Work that is expected to take less than this starts without a probe, in microseconds: what it
 /// can lose on a slow VM is less than a neighbour's busy period.
@@ -139,6 +139,8 @@
     warmth: Warmth,
     /// The limit that the target names.
     named: NamedRate,
+    /// The limit of a version that is rolled out.
+    exposure: Exposure,
     slowness: Slowness,
     /// Exponentially weighted average of the work time on a VM that is not slow, in microseconds.
     work_us: f64,
@@ -164,6 +166,7 @@
             reserve: Reserve::default(),
             warmth: Warmth::default(),
             named: NamedRate::default(),
+            exposure: Exposure::default(),
             slowness: Slowness::default(),
             work_us: INITIAL_WORK_US,
             cold_ratio: INITIAL_COLD_RATIO,
@@ -206,6 +209,16 @@
         &mut self.named
     }
 
+    /// Returns what the target's version may be sent.
+    pub fn exposure(&self) -> &Exposure {
+        &self.exposure
+    }
+
+    /// Returns what the target's version may be sent, to record orders and grants.
+    pub fn exposure_mut(&mut self) -> &mut Exposure {
+        &mut self.exposure
+    }
+
     /// Forgets what an earlier target named.
     pub fn reset_named(&mut self) {
         self.named = NamedRate::default();
@@ -277,10 +290,11 @@
     /// `otherwise`.
     fn lacks(&mut self, now: Time, otherwise: Refusal) -> Refusal {
         let is_cold = self.is_cold(now) || self.warmth.room(now) == Some(0);
-        match (is_cold, self.named.room(now)) {
+        let is_limited = self.named.room(now) == Some(0) || self.exposure.room(now) == Some(0);
+        match (is_cold, is_limited) {
             (true, _) => Refusal::Cold,
-            (false, Some(0)) => Refusal::Limited,
-            (false, _) => otherwise,
+            (false, true) => Refusal::Limited,
+            (false, false) => otherwise,
         }
     }
 
@@ -364,6 +378,9 @@
         if self.named.room(now) == Some(0) {
             earliest = earliest.min(self.named.next_room(now));
         }
+        if self.exposure.room(now) == Some(0) {
+            earliest = earliest.min(self.exposure.next_room(now).max(now.after(1_000)));
+        }
         if self.is_cold(now) || self.warmth.room(now) == Some(0) {
             let least_us = if self.has_room(now) { RESERVED_WAIT_US } else { 1_000 };
             earliest = earliest.min(self.warmth.next_room(now).max(now.after(least_us)));
@@ -379,6 +396,7 @@
         let slots = self.limit(now).saturating_sub(self.running());
         let room = slots.min(self.warmth.room(now).unwrap_or(u32::MAX));
         let room = room.min(self.named.room(now).unwrap_or(u32::MAX));
+        let room = room.min(self.exposure.room(now).unwrap_or(u32::MAX));
         room as i32
     }
 
@@ -443,11 +461,12 @@
         self.reserve.started(now, priority);
         self.warmth.sent(now);
         self.named.sent(now);
+        self.exposure.sent(now);
     }
 
     fn has_room(&mut self, now: Time) -> bool {
         let rate_allows = self.warmth.room(now) != Some(0);
-        let limit_allows = self.named.room(now) != Some(0);
+        let limit_allows = self.named.room(now) != Some(0) && self.exposure.room(now) != Some(0);
         rate_allows && limit_allows && self.running() < self.limit(now)
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -68,7 +68,10 @@
 };
 pub use rate::RateWindow;
 pub use retries::{RetryBound, RetryBudget};
-pub use rollout::{EvidenceReport, ExposureGrant, RouteEvidence};
+pub use rollout::{
+    Coordinator, Evidence, EvidenceReport, Exposure, ExposureGrant, ExposureLimit, RouteEvidence,
+    coordinator_order, route_id,
+};
 pub use room::Urgency;
 pub use service::ServiceState;
 pub use shutdown::Shutdown;
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -7,8 +7,10 @@
 mod quota;
 mod registry;
 mod reports;
+mod rollout;
 mod selection;
 mod serve;
 
 pub use directory::Peer;
 pub use links::{PeerSettings, Peers};
+pub use rollout::RolloutSettings;
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -114,8 +114,10 @@
             peer.last_used.set(peers.now());
             Reply::Tokens(Box::new(peers.answer_tokens(&peer.node().name, &ask)))
         }
-        // No node coordinates roll-outs yet.
-        Frame::Evidence(_) => Reply::Exposure(None),
+        Frame::Evidence(report) => {
+            let name = peer.node().name;
+            Reply::Exposure(peers.handle_evidence(&name, *report))
+        }
         Frame::FetchNodes => Reply::Nodes(peers.nodes()),
         Frame::Sync(summary) => peers.differing_members(&summary),
         Frame::Members(members) => {
