--- a/crates/policy/src/quota/allowance.rs
+++ b/crates/policy/src/quota/allowance.rs
@@ -33,8 +33,10 @@
     pub(super) used: Time,
     /// Repeats of requests that the next tokens pay for.
     owed: u32,
-    /// Requests that wait for tokens which were not asked for yet.
+    /// Requests that wait for tokens which were not asked for yet, in this round.
     missing: u32,
+    /// The number of answers so far. After each one, the requests that still wait are counted anew.
+    round: u64,
     /// Tokens in the question that is open.
     asked: u32,
     /// No token is asked for before, since the keeper had too few.
@@ -63,6 +65,7 @@
             used: Time::default(),
             owed: 0,
             missing: 0,
+            round: 0,
             asked: 0,
             dry_until: Time::default(),
             room_at: Time::default(),
@@ -117,9 +120,21 @@
         self.held.insert(at, Batch { stale: expires, expires, tokens: 1 });
     }
 
-    /// Adds a request that waits for a token.
-    pub(super) fn wait(&mut self) {
+    /// Adds a request that waits for a token, and returns the round in which it does.
+    pub(super) fn wait(&mut self) -> u64 {
         self.missing += 1;
+        self.round
+    }
+
+    /// Returns whether no question was answered since a request began to wait.
+    pub(super) fn is_round(&self, round: u64) -> bool {
+        self.round == round
+    }
+
+    /// Begins a new round when a question has been answered, or was lost.
+    pub(super) fn next_round(&mut self) {
+        (self.missing, self.asked) = (0, 0);
+        self.round += 1;
     }
 
     /// Returns how long a request has to wait for room, while none can be asked for.
@@ -157,7 +172,7 @@
             self.room_at = now.after(grant.wait_us);
             self.dry_until = now.after(grant.wait_us.min(AHEAD_US));
         }
-        self.asked = 0;
+        self.next_round();
     }
 
     /// Takes a token of the node's own share of `own_tokens` in each window, which all nodes divide
--- a/crates/policy/src/quota/client.rs
+++ b/crates/policy/src/quota/client.rs
@@ -58,8 +58,8 @@
 pub enum QuotaAdmission {
     /// It may run.
     Admitted(QuotaToken),
-    /// It waits for the answer to the next question.
-    Wait,
+    /// It waits for an answer, in this round of questions.
+    Wait(u64),
     /// It is over the quota. The workspace has room again in this many microseconds.
     Refused(u64),
 }
@@ -111,11 +111,24 @@
     /// Admits a request of a workspace that arrives, or comes back after its wait.
     pub fn admit(&mut self, now: Time, workspace: &Name, quota: Quota) -> QuotaAdmission {
         self.allowance(workspace, quota).count(now);
-        self.retry(now, workspace, quota)
+        self.try_take(now, workspace, quota)
     }
 
-    /// Admits a request that has waited for an answer, once there was one.
-    pub fn retry(&mut self, now: Time, workspace: &Name, quota: Quota) -> QuotaAdmission {
+    /// Admits a request that waits in a round, once a question was answered.
+    pub fn retry(
+        &mut self,
+        now: Time,
+        workspace: &Name,
+        quota: Quota,
+        round: u64,
+    ) -> QuotaAdmission {
+        match self.allowance(workspace, quota).is_round(round) {
+            true => QuotaAdmission::Wait(round),
+            false => self.try_take(now, workspace, quota),
+        }
+    }
+
+    fn try_take(&mut self, now: Time, workspace: &Name, quota: Quota) -> QuotaAdmission {
         let is_settled = self.ballot(workspace).is_some_and(|ballot| ballot.is_settled(now));
         let allowance = self.allowance(workspace, quota);
         if let Some(expires) = allowance.take(now) {
@@ -125,10 +138,7 @@
         match allowance.wait_us(now) {
             Some(_) if !is_settled => self.last_resort(now, workspace, quota),
             Some(wait_us) => QuotaAdmission::Refused(wait_us),
-            None => {
-                allowance.wait();
-                QuotaAdmission::Wait
-            }
+            None => QuotaAdmission::Wait(allowance.wait()),
         }
     }
 
@@ -231,9 +241,13 @@
         if let Some(ballot) = self.slot_ballot(outgoing.ask.slot) {
             ballot.answered(now, &outgoing.to, reply);
         }
-        for grant in &reply.grants {
-            if let Some(allowance) = self.find(&grant.workspace) {
-                allowance.grant(now, sent, grant);
+        for request in &outgoing.ask.requests {
+            let mut grants = reply.grants.iter();
+            let grant = grants.find(|grant| grant.workspace == request.workspace);
+            match (self.find(&request.workspace), grant) {
+                (Some(allowance), Some(grant)) => allowance.grant(now, sent, grant),
+                (Some(allowance), None) => allowance.next_round(),
+                (None, _) => {}
             }
         }
     }
@@ -243,6 +257,11 @@
         if let Some(ballot) = self.slot_ballot(outgoing.ask.slot) {
             ballot.unanswered(now, &outgoing.to);
         }
+        for request in &outgoing.ask.requests {
+            if let Some(allowance) = self.find(&request.workspace) {
+                allowance.next_round();
+            }
+        }
     }
 
     /// Returns the keeper of each slot, and whether it answers and has the votes of most nodes.
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -51,8 +51,8 @@
     since: Time,
     /// Until when it is suspended.
     suspended: Time,
-    /// Workspace and arrival of the requests that wait.
-    waiting: Vec<(usize, Time)>,
+    /// Workspace, arrival and round of the requests that wait.
+    waiting: Vec<(usize, Time, u64)>,
     /// Open questions, by number.
     open: BTreeMap<u64, (Time, OutgoingAsk)>,
 }
@@ -157,7 +157,9 @@
     fn settle(&mut self, at: usize, workspace: usize, arrived: Time, admission: QuotaAdmission) {
         match admission {
             QuotaAdmission::Admitted(_) => self.ran[workspace].push(self.now),
-            QuotaAdmission::Wait => self.nodes[at].waiting.push((workspace, arrived)),
+            QuotaAdmission::Wait(round) => {
+                self.nodes[at].waiting.push((workspace, arrived, round));
+            }
             QuotaAdmission::Refused(wait_us) => {
                 assert!(wait_us > 0);
                 self.refused[workspace].push(self.now);
@@ -202,9 +204,9 @@
             Body::Reply(reply) => {
                 let Some((sent, asked)) = self.nodes[to].open.remove(&id) else { return };
                 self.nodes[to].client.answered(self.now, sent, &asked, &reply);
-                for (workspace, arrived) in std::mem::take(&mut self.nodes[to].waiting) {
+                for (workspace, arrived, round) in std::mem::take(&mut self.nodes[to].waiting) {
                     let (name, quota) = self.workspaces[workspace].clone();
-                    let admission = self.nodes[to].client.retry(self.now, &name, quota);
+                    let admission = self.nodes[to].client.retry(self.now, &name, quota, round);
                     self.settle(to, workspace, arrived, admission);
                 }
             }
@@ -224,11 +226,11 @@
             self.nodes[at].client.unanswered(now, &asked);
         }
         let waiting = std::mem::take(&mut self.nodes[at].waiting);
-        for (workspace, arrived) in waiting {
+        for (workspace, arrived, round) in waiting {
             let (name, quota) = self.workspaces[workspace].clone();
             let admission = match now.since(arrived) >= TIMEOUT_US.1 {
                 true => self.nodes[at].client.last_resort(now, &name, quota),
-                false => QuotaAdmission::Wait,
+                false => self.nodes[at].client.retry(now, &name, quota, round),
             };
             self.settle(at, workspace, arrived, admission);
         }
@@ -487,3 +489,26 @@
     let faults: Vec<String> = runs.flatten().collect();
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+// Guards against a cost of quotas that grows beyond what control may take on a node without load.
+#[test]
+fn an_idle_fleet_agrees_on_keepers_for_few_bytes() {
+    const BYTES_PER_S: f64 = 3_000.0;
+    /// By then the nodes have agreed.
+    const SETTLED_S: f64 = 2.0;
+    let mut fleet = Fleet::new(1);
+    let mut before = (0, 0);
+    while fleet.seconds() < 10.0 {
+        fleet.step();
+        if fleet.seconds() < SETTLED_S {
+            before = (fleet.sent, fleet.bytes);
+        }
+    }
+    let per_node = 1.0 / (NODES as f64 * (fleet.seconds() - SETTLED_S));
+    let messages = (fleet.sent - before.0) as f64 * per_node;
+    let bytes = (fleet.bytes - before.1) as f64 * per_node;
+    println!("idle: {messages:.1} messages and {bytes:.0} bytes a node and second");
+    assert!(bytes <= BYTES_PER_S, "{bytes} bytes a node and second");
+    let is_settled = |node: &Node| node.client.keepers(fleet.now).all(|(_, settled)| settled);
+    assert!(fleet.nodes.iter().all(is_settled));
+}
--- a/crates/sidecar/src/entry/quota.rs
+++ b/crates/sidecar/src/entry/quota.rs
@@ -113,17 +113,17 @@
         };
         let until = tokio::time::Instant::now() + TOKEN_WAIT;
         loop {
-            match admission {
+            let round = match admission {
                 QuotaAdmission::Admitted(token) => return Ok(Some(token)),
                 QuotaAdmission::Refused(wait_us) => return Err(self.refuse(workspace, wait_us)),
-                QuotaAdmission::Wait => {}
-            }
+                QuotaAdmission::Wait(round) => round,
+            };
             let answered = self.answered.notified();
             self.wanted.notify_one();
             let is_answered = tokio::time::timeout_at(until, answered).await.is_ok();
             let now = self.now();
             let next = self.with_client(|client| match is_answered {
-                true => client.retry(now, workspace, quota),
+                true => client.retry(now, workspace, quota, round),
                 false => client.last_resort(now, workspace, quota),
             });
             let Some(next) = next else { return Ok(None) };
