Quotas: suspensions in a policy of their own, bounded slots, lines and answers

Cause: the clock that counts suspensions had no test; a keeper read the member list at each question, and believed any slot and number; a node without quotas woke up 20 times a second. Change: policy::ElapsedTime with a table of readings; the fleet's number is read every 0.2 s; at most 64 slots, grants up to what was asked and 2 s of validity; the loop sleeps until there are bounds and workspaces; lines about keepers are limited. A case of keepers that stop in order.

--- a/crates/policy/src/quota/allowance.rs
+++ b/crates/policy/src/quota/allowance.rs
@@ -4,7 +4,7 @@
 
 use world::{Name, Quota};
 
-use super::terms::QuotaTolerance;
+use super::terms::{MAX_VALID_US, QuotaTolerance};
 use super::{TokenGrant, TokenRequest};
 use crate::Time;
 
@@ -163,12 +163,13 @@
 
     /// Adds what the keeper gave in answer to a question that was sent at `sent`.
     pub(super) fn grant(&mut self, now: Time, sent: Time, grant: &TokenGrant) {
-        let expires = sent.after(grant.valid_us);
-        if grant.tokens > 0 {
-            let stale = sent.after(grant.valid_us / 2);
-            self.held.push_back(Batch { stale, expires, tokens: grant.tokens });
+        let valid_us = grant.valid_us.min(MAX_VALID_US);
+        let (stale, expires) = (sent.after(valid_us / 2), sent.after(valid_us));
+        let tokens = grant.tokens.min(self.asked);
+        if tokens > 0 {
+            self.held.push_back(Batch { stale, expires, tokens });
         }
-        if grant.tokens < self.asked {
+        if tokens < self.asked {
             self.room_at = now.after(grant.wait_us);
             self.dry_until = now.after(grant.wait_us.min(AHEAD_US));
         }
--- a/crates/policy/src/quota/client.rs
+++ b/crates/policy/src/quota/client.rs
@@ -180,17 +180,9 @@
         }
     }
 
-    /// Returns whether requests wait for a question that can be asked at once.
-    pub fn is_due(&self, now: Time) -> bool {
-        let waits = |allowance: &Allowance| {
-            let ballot = self.ballot(&allowance.workspace);
-            allowance.is_due(now) && ballot.is_some_and(|ballot| !ballot.is_asking())
-        };
-        self.allowances.iter().any(waits)
-    }
-
     /// Returns the questions to ask now. Each has to be answered by [`QuotaClient::answered`] or
-    /// [`QuotaClient::unanswered`]. To be called every 50 ms, and when a request waits.
+    /// [`QuotaClient::unanswered`]. To be called every 50 ms, when a
+    /// request waits, and after each answer.
     pub fn asks(&mut self, now: Time, revision: u64) -> Vec<OutgoingAsk> {
         let Some(fleet) = self.fleet else { return Vec::new() };
         self.allowances.retain(|allowance| !allowance.is_unused(now, RETENTION_US));
--- a/crates/policy/src/quota/keeper.rs
+++ b/crates/policy/src/quota/keeper.rs
@@ -15,6 +15,8 @@
 const MAX_WAIT_US: u64 = 3_000_000;
 /// The wait that entries are told while the keeper has too few votes, in microseconds.
 const VOTELESS_WAIT_US: u64 = VOTE_US / 2;
+/// The most slots: those of a few fleet sizes. Questions for further ones get nothing.
+const MAX_SLOTS: usize = 64;
 /// The time between two removals of full buckets, in microseconds.
 const SWEEP_US: u64 = 10_000_000;
 
@@ -102,7 +104,8 @@
         ask: &TokenAsk,
         quota: impl Fn(&TokenRequest) -> (u64, Option<Quota>),
     ) -> TokenReply {
-        if self.closed {
+        let is_known = self.slots.binary_search_by_key(&ask.slot, |slot| slot.id).is_ok();
+        if self.closed || !is_known && self.slots.len() >= MAX_SLOTS {
             return TokenReply::default();
         }
         let until = self.vote_end(now, ask.echo);
@@ -257,8 +260,8 @@
 
     /// Returns the most tokens that the bucket may hold beside those at entries.
     fn room(&self) -> f64 {
-        let out: u32 = self.out.iter().map(|(_, tokens)| tokens).sum();
-        self.terms.most() - f64::from(out)
+        let out: f64 = self.out.iter().map(|(_, tokens)| f64::from(*tokens)).sum();
+        self.terms.most() - out
     }
 
     fn grant(&mut self, now: Time, part: f64, wanted: u32, returned: u32) -> TokenGrant {
--- a/crates/policy/src/quota/terms.rs
+++ b/crates/policy/src/quota/terms.rs
@@ -13,7 +13,7 @@
 /// The shortest validity, in microseconds: some round trips between data centres.
 const MIN_VALID_US: u64 = 150_000;
 /// The longest validity, in microseconds. Tokens that lie unused at one entry are missed at others.
-const MAX_VALID_US: u64 = 2_000_000;
+pub(super) const MAX_VALID_US: u64 = 2_000_000;
 
 /// The bound on the requests of a workspace: in any window, (rate x window + burst) x (1 +
 /// `overage`) + `slack`.
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use policy::{
-    Keeper, OutgoingAsk, QuotaAdmission, QuotaClient, QuotaTolerance, Time, TokenReply,
-    TokenRequest,
+    ElapsedTime, Keeper, OutgoingAsk, QuotaAdmission, QuotaClient, QuotaTolerance, Time,
+    TokenReply, TokenRequest,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -53,6 +53,8 @@
     suspended: Time,
     /// Workspace, arrival and round of the requests that wait.
     waiting: Vec<(usize, Time, u64)>,
+    /// Whether a request waits or an answer has come.
+    wanted: bool,
     /// Open questions, by number.
     open: BTreeMap<u64, (Time, OutgoingAsk)>,
 }
@@ -107,6 +109,7 @@
             since: self.now,
             suspended: Time(0),
             waiting: Vec::new(),
+            wanted: false,
             open: BTreeMap::new(),
         }
     }
@@ -159,6 +162,7 @@
             QuotaAdmission::Admitted(_) => self.ran[workspace].push(self.now),
             QuotaAdmission::Wait(round) => {
                 self.nodes[at].waiting.push((workspace, arrived, round));
+                self.nodes[at].wanted = true;
             }
             QuotaAdmission::Refused(wait_us) => {
                 assert!(wait_us > 0);
@@ -204,6 +208,7 @@
             Body::Reply(reply) => {
                 let Some((sent, asked)) = self.nodes[to].open.remove(&id) else { return };
                 self.nodes[to].client.answered(self.now, sent, &asked, &reply);
+                self.nodes[to].wanted = true;
                 for (workspace, arrived, round) in std::mem::take(&mut self.nodes[to].waiting) {
                     let (name, quota) = self.workspaces[workspace].clone();
                     let admission = self.nodes[to].client.retry(self.now, &name, quota, round);
@@ -238,7 +243,8 @@
             let up = self.members_of(at);
             self.nodes[at].client.set_members(now, NODES, &up);
         }
-        if now.0 % POLL_US == (at as u64 * TICK_US) % POLL_US || self.nodes[at].client.is_due(now) {
+        let is_wanted = std::mem::take(&mut self.nodes[at].wanted);
+        if now.0 % POLL_US == (at as u64 * TICK_US) % POLL_US || is_wanted {
             for asked in self.nodes[at].client.asks(now, 1) {
                 let to = self.names.iter().position(|name| *name == asked.to).unwrap();
                 self.nodes[at].open.insert(self.sent + 1, (now, asked.clone()));
@@ -301,7 +307,7 @@
     }
 }
 
-const CASES: [Case; 14] = [
+const CASES: [Case; 15] = [
     Case { name: "three nodes", factor: 6.0, nodes: |_| vec![3, 40, 71], event: CALM, gap_s: 0.0 },
     Case { name: "all nodes", factor: 6.0, nodes: EVERYWHERE, event: CALM, gap_s: 0.0 },
     Case {
@@ -356,6 +362,17 @@
         },
         gap_s: 1.0,
     },
+    Case {
+        name: "keepers stopped in order",
+        factor: 6.0,
+        nodes: EVERYWHERE,
+        event: |fleet, now| {
+            once(now, 8.0, || {
+                fleet.hot_keepers().iter().for_each(|at| fleet.nodes[*at].keeper.close())
+            })
+        },
+        gap_s: 0.5,
+    },
     Case {
         name: "keepers restarted, twice",
         factor: 6.0,
@@ -512,3 +529,29 @@
     let is_settled = |node: &Node| node.client.keepers(fleet.now).all(|(_, settled)| settled);
     assert!(fleet.nodes.iter().all(is_settled));
 }
+
+struct Reading {
+    steady: u64,
+    wall: u64,
+    elapsed: u64,
+}
+
+// Guards against tokens and votes that outlive a suspension of their VM.
+#[test]
+fn elapsed_time_counts_suspensions_and_never_goes_back() {
+    let readings = [
+        Reading { steady: 1_000, wall: 9_001_000, elapsed: 1_000 },
+        // The wall clock is slewed.
+        Reading { steady: 51_000, wall: 9_051_900, elapsed: 51_000 },
+        // Suspended for 3 s.
+        Reading { steady: 101_000, wall: 12_101_900, elapsed: 3_101_000 },
+        // Set back by 5 s, and then suspended for 1 s.
+        Reading { steady: 151_000, wall: 7_151_900, elapsed: 3_151_000 },
+        Reading { steady: 201_000, wall: 8_201_900, elapsed: 4_201_000 },
+    ];
+    let mut elapsed = ElapsedTime::new(Time(0), 9_000_000);
+    for reading in readings {
+        let now = elapsed.read(Time(reading.steady), reading.wall);
+        assert_eq!(now, Time(reading.elapsed), "wall {}", reading.wall);
+    }
+}
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use policy::Time;
+use policy::{ElapsedTime, Time};
 
 /// A monotonic clock that counts from its creation. Every decision takes its time from it.
 #[derive(Clone, Copy, Debug)]
@@ -31,38 +31,26 @@
     }
 }
 
-/// The least by which the wall clock goes ahead of the steady one for a suspension, in microseconds.
-const SUSPENSION_US: u64 = 100_000;
-
-/// A clock for what must not outlive a suspension of the VM, during which the steady clock stands
-/// still. It goes ahead with the wall clock where that jumps forward, whether for a suspension or
-/// because it was set; it never goes back. It has to be read often, since a wall clock that is set
-/// back between two readings hides a suspension of that length.
+/// A clock that counts suspensions of the VM; see [`ElapsedTime`].
 #[derive(Debug)]
 pub struct ElapsedClock {
     steady: Clock,
-    /// The steady time and the wall-clock time in microseconds when it was last read.
-    last: Cell<(Time, u64)>,
-    /// The sum of the suspensions, in microseconds.
-    suspended_us: Cell<u64>,
+    time: Cell<ElapsedTime>,
 }
 
 impl ElapsedClock {
     /// Creates a clock that agrees with a steady one until the first suspension.
     pub fn new(steady: Clock) -> ElapsedClock {
-        let last = Cell::new((steady.now(), wall_us()));
-        ElapsedClock { steady, last, suspended_us: Cell::new(0) }
+        let time = Cell::new(ElapsedTime::new(steady.now(), wall_us()));
+        ElapsedClock { steady, time }
     }
 
     /// Returns the time since the steady clock was created, with suspensions.
     pub fn now(&self) -> Time {
-        let (steady, wall_us) = (self.steady.now(), wall_us());
-        let (last, last_wall_us) = self.last.replace((steady, wall_us));
-        let ahead_us = wall_us.saturating_sub(last_wall_us).saturating_sub(steady.since(last));
-        if ahead_us >= SUSPENSION_US {
-            self.suspended_us.set(self.suspended_us.get() + ahead_us);
-        }
-        steady.after(self.suspended_us.get())
+        let mut time = self.time.get();
+        let now = time.read(self.steady.now(), wall_us());
+        self.time.set(time);
+        now
     }
 }
 
--- a/crates/sidecar/src/entry/quota.rs
+++ b/crates/sidecar/src/entry/quota.rs
@@ -33,6 +33,8 @@
 const MIN_SPREAD_S: f64 = 0.1;
 /// Limit on log lines about workspaces at their limits.
 const LIMIT_LINES_PER_S: f64 = 0.5;
+/// Limit on log lines about other keepers, and how many may come at once.
+const KEEPER_LINES: (f64, f64) = (1.0, 16.0);
 
 /// How long a caller over its quota is to wait.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -58,7 +60,8 @@
     answered: Notify,
     /// The keepers that were last logged.
     keepers: RefCell<Vec<(Option<Name>, bool)>>,
-    lines: RefCell<TokenBucket>,
+    keeper_lines: RefCell<TokenBucket>,
+    limit_lines: RefCell<TokenBucket>,
 }
 
 impl Quotas {
@@ -78,7 +81,8 @@
             wanted: Notify::new(),
             answered: Notify::new(),
             keepers: RefCell::default(),
-            lines: RefCell::new(TokenBucket::new(LIMIT_LINES_PER_S, LIMIT_LINES_PER_S)),
+            keeper_lines: RefCell::new(TokenBucket::new(KEEPER_LINES.1, KEEPER_LINES.0)),
+            limit_lines: RefCell::new(TokenBucket::new(1.0, LIMIT_LINES_PER_S)),
         });
         quotas.set_bounds(bounds);
         tokio::task::spawn_local(quotas.clone().run());
@@ -95,6 +99,7 @@
             Some(client) => client.set_bounds(bounds),
             client => *client = Some(QuotaClient::new(self.now(), node, bounds)),
         }
+        self.wanted.notify_one();
     }
 
     /// Refuses a request of a workspace that is known to be at its limit, without a question.
@@ -158,7 +163,7 @@
 
     fn refuse(&self, workspace: &Name, wait_us: u64) -> Wait {
         self.metrics.quota_refused.inc();
-        if self.lines.borrow_mut().take(self.peers.now(), 1.0) {
+        if self.limit_lines.borrow_mut().take(self.peers.now(), 1.0) {
             tracing::info!(workspace = &**workspace, wait_us, "quota: a workspace is at its limit");
         }
         let room_s = wait_us as f64 / 1e6;
@@ -168,12 +173,17 @@
 
     /// Asks keepers for what is wanted, for as long as the process runs.
     async fn run(self: Rc<Quotas>) {
+        let mut revision = self.rules.subscribe();
         loop {
-            let _ = tokio::time::timeout(CHECK, self.wanted.notified()).await;
-            let Some(rules) = self.rules.current() else { continue };
-            if rules.routing.workspaces.is_empty() || self.client.borrow().is_none() {
+            let rules = self.rules.current();
+            let rules = rules.filter(|rules| !rules.routing.workspaces.is_empty());
+            let Some(rules) = rules.filter(|_| self.client.borrow().is_some()) else {
+                tokio::select! {
+                    _ = revision.changed() => {}
+                    () = self.wanted.notified() => {}
+                }
                 continue;
-            }
+            };
             let now = self.now();
             self.update_members(now);
             let asks = self.with_client(|client| client.asks(now, rules.revision));
@@ -181,6 +191,7 @@
                 tokio::task::spawn_local(self.clone().ask(outgoing, now));
             }
             self.log_keepers(now);
+            let _ = tokio::time::timeout(CHECK, self.wanted.notified()).await;
         }
     }
 
@@ -209,7 +220,7 @@
         self.wanted.notify_one();
     }
 
-    /// Logs the keepers that have changed.
+    /// Logs the keepers that have changed since they were last logged.
     fn log_keepers(&self, now: Time) {
         let client = self.client.borrow();
         let Some(client) = client.as_ref() else { return };
@@ -218,7 +229,8 @@
         for (slot, (known, (keeper, settled))) in
             known.iter_mut().zip(client.keepers(now)).enumerate()
         {
-            if known.0.as_ref() != keeper || known.1 != settled {
+            let is_other = known.0.as_ref() != keeper || known.1 != settled;
+            if is_other && self.keeper_lines.borrow_mut().take(now, 1.0) {
                 let name = keeper.map(|name| &**name);
                 tracing::info!(slot, keeper = name, settled, "quota: another keeper of a slot");
                 *known = (keeper.cloned(), settled);
--- a/crates/sidecar/src/peers/links.rs
+++ b/crates/sidecar/src/peers/links.rs
@@ -92,6 +92,8 @@
     pub(super) elapsed: ElapsedClock,
     /// This node as a keeper of quotas. `None` without bounds in the settings.
     pub(super) keeper: RefCell<Option<Keeper>>,
+    /// The number of nodes that count for a keeper's votes, as last read; 0 before.
+    pub(super) quota_fleet: Cell<usize>,
 }
 
 impl Peers {
@@ -132,6 +134,7 @@
             tries_watch: Cell::new(false),
             elapsed: ElapsedClock::new(clock),
             keeper: RefCell::default(),
+            quota_fleet: Cell::new(0),
         });
         tokio::task::spawn_local(serve::accept(peers.clone(), peers.endpoint.clone()));
         tokio::task::spawn_local(peers.clone().send_reports());
--- a/crates/sidecar/src/peers/quota.rs
+++ b/crates/sidecar/src/peers/quota.rs
@@ -40,9 +40,10 @@
             return None;
         }
         let members = self.membership.members.borrow();
+        self.quota_fleet.set(members.present());
         let up =
             members.up().map(|member| member.name.clone()).chain([self.local_node.name.clone()]);
-        Some((members.present(), up.collect()))
+        Some((self.quota_fleet.get(), up.collect()))
     }
 
     /// Asks a node for tokens. `None` if it does not answer in time.
@@ -86,7 +87,8 @@
     pub(super) fn answer_tokens(&self, voter: &Name, ask: &TokenAsk) -> TokenReply {
         let mut keeper = self.keeper.borrow_mut();
         let Some(keeper) = keeper.as_mut() else { return TokenReply::default() };
-        let fleet = self.quota_members().map_or(self.fleet(), |(fleet, _)| fleet);
+        // Until this node has read its own list, the voters know the number.
+        let fleet = self.quota_fleet.get();
         let quota = |request: &TokenRequest| self.newer_quota(ask.revision, request);
         let reply = keeper.answer(self.elapsed.now(), voter, fleet, ask, quota);
         let tokens: u64 = reply.grants.iter().map(|grant| u64::from(grant.tokens)).sum();
