--- a/crates/sidecar/tests/rulesets.rs
+++ b/crates/sidecar/tests/rulesets.rs
@@ -5,9 +5,11 @@
 
 use policy::Report;
 use quinn::{Connection, Endpoint};
+use standin::caller::TestRequest;
 use standin::deployment::{Deployment, eventually};
-use wire::link::{Datagram, Frame, Hello, Node, Status};
+use wire::link::{Datagram, Frame, Hello, Node, Reply, Status};
 use wire::tls::{self, SERVER_NAME, Timing, Trust};
+use world::Ruleset;
 
 const NODE: &str = env!("CARGO_BIN_EXE_bamboowheel-sidecar");
 /// A change must be in force on every node within this time of its acknowledgement.
@@ -87,3 +89,34 @@
     assert!(store.call_count() <= calls + 2, "{} reads", store.call_count() - calls);
     closing.abort();
 }
+
+/// Routes that are newer than those in the store.
+const NEWER_ROUTES: &str = r#"{"version":100,"routes":[{"name":"r","host":"test.example",
+"pathPrefix":"/lost/","kind":"safe","timeoutS":2,"targetLatencyS":0.3,"service":"a"}],
+"services":[{"name":"a","healthPath":"/health"}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutS":3,"idleTimeoutS":15}}"#;
+
+// Guards against a node that serves by an older copy of the table, since it read that before it was
+// linked to the nodes that know better.
+#[tokio::test]
+async fn a_node_that_read_an_older_copy_takes_the_newer_routes_of_its_peers() {
+    let mut deployment = Deployment::prepare(NODE, &[("dc-1", "a")]).await;
+    deployment.store.come_back(0);
+    deployment.start_nodes().await;
+    let address = SocketAddr::new(deployment.vms[0].ip, 7600);
+    let (_endpoint, peer) = link_silent_peer(address, "x-1", 1).await;
+    tokio::spawn(async move {
+        while let Ok((mut send, mut receive)) = peer.accept_bi().await {
+            if let Ok(Frame::FetchRules) = wire::read(&mut receive).await {
+                let routing = platform::operator::routing(NEWER_ROUTES.as_bytes()).unwrap();
+                let ruleset =
+                    Ruleset { revision: 1, routing, out: Vec::new(), rollouts: Vec::new() };
+                wire::write(&mut send, &Reply::Rules(Some(Box::new(ruleset)))).await.unwrap();
+                let _ = send.finish();
+            }
+        }
+    });
+    let request = TestRequest { path: "/lost/x", id: "lost", ..TestRequest::default() };
+    let is_served = async || deployment.send_request(0, &request).await.unwrap().status == 200;
+    assert!(eventually(IN_FORCE_LIMIT, is_served).await);
+}
