Soak: the store comes back from older copies

Cause: the soak knew outages and a dropped history of the store, not one that loses what it acknowledged.

--- a/crates/sidecar/tests/soak.rs
+++ b/crates/sidecar/tests/soak.rs
@@ -12,15 +12,17 @@
     seconds: u64,
     /// Whether all open connections go silent at times.
     silences: bool,
+    /// Whether the store comes back from an older copy at times.
+    restores: bool,
     /// The violation that was once seen with this seed.
     cause: &'static str,
 }
 
 async fn promises_hold(case: Case) {
-    let Case { seed, seconds, silences, cause } = case;
+    let Case { seed, seconds, silences, restores, cause } = case;
     let duration = Duration::from_secs(seconds);
     let program = NODE.to_owned();
-    let settings = SoakSettings { seed, duration, vms: 6, program, logs: None, silences };
+    let settings = SoakSettings { seed, duration, vms: 6, program, logs: None, silences, restores };
     let report = soak::run(&settings).await;
     let faults = report.faults.join("\n");
     assert!(report.violations.is_empty(), "{seed} ({cause}): {:?}\n{faults}", report.violations);
@@ -33,6 +35,7 @@
         seed: 106,
         seconds: 12,
         silences: false,
+        restores: false,
         cause: "none; an ordinary seed",
     })
     .await;
@@ -44,6 +47,7 @@
         seed: 248,
         seconds: 13,
         silences: false,
+        restores: false,
         cause: "DRAIN: a target known only from a health check deregistered with its start time",
     };
     promises_hold(case).await;
@@ -55,6 +59,7 @@
         seed: 236,
         seconds: 21,
         silences: false,
+        restores: false,
         cause: "FAILBACK: the check counted requests after the target's cold time was cut short",
     };
     promises_hold(case).await;
@@ -62,7 +67,13 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_while_connections_go_silent() {
-    let case = Case { seed: 107, seconds: 15, silences: true, cause: "none; an ordinary seed" };
+    let case = Case {
+        seed: 107,
+        seconds: 15,
+        silences: true,
+        restores: false,
+        cause: "none; an ordinary seed",
+    };
     promises_hold(case).await;
 }
 
@@ -72,6 +83,7 @@
         seed: 622,
         seconds: 12,
         silences: true,
+        restores: false,
         cause: "DRAIN: after all nodes died, a leaving target passed a health check",
     };
     promises_hold(case).await;
@@ -83,7 +95,20 @@
         seed: 641,
         seconds: 8,
         silences: true,
+        restores: false,
         cause: "DRAIN: after all nodes died, a target that had deregistered passed a health check",
     };
     promises_hold(case).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_while_the_store_comes_back_from_older_copies() {
+    let case = Case {
+        seed: 108,
+        seconds: 20,
+        silences: false,
+        restores: true,
+        cause: "none; an ordinary seed",
+    };
+    promises_hold(case).await;
+}
