Era: peers get the ruleset as the table has it

Cause: a node that received what a peer holds beside the table took it for the table's, and kept it after the peer's hold ended, until the next revision. Change: rulesets for peers leave out what is held; newer routes stay.

--- a/crates/policy/src/era.rs
+++ b/crates/policy/src/era.rs
@@ -101,6 +101,19 @@
         changes.then(|| Ruleset { out, rollouts, ..known.clone() })
     }
 
+    /// Returns the ruleset in force as the table has it, for peers: each holds what it knows itself, and
+    /// could not tell when another one's hold ends.
+    pub fn without_held(&self, known: &Ruleset) -> Ruleset {
+        match &self.held {
+            Some(held) => Ruleset {
+                out: held.table_out.clone(),
+                rollouts: held.table_rollouts.clone(),
+                ..known.clone()
+            },
+            None => known.clone(),
+        }
+    }
+
     /// Keeps the data centres out of service and the orders of a ruleset in force for a while, beside
     /// those that are held already.
     fn hold(&mut self, now: Time, ruleset: &Ruleset) {
--- a/crates/policy/tests/era.rs
+++ b/crates/policy/tests/era.rs
@@ -124,6 +124,11 @@
             in_force = merge.merge(now, &in_force, read.ruleset()).unwrap_or(in_force);
         }
         assert_eq!(in_force, expected.ruleset(), "{name}");
+        // Peers get what the table has, and routes that are not older.
+        let last = reads.iter().map(|(_, read)| read).filter(|read| read.at.1 == expected.at.1);
+        let last = last.max_by_key(|read| read.at.0).unwrap();
+        let table = Read { at: expected.at, ..*last };
+        assert_eq!(merge.without_held(&in_force), table.ruleset(), "{name}: for peers");
     }
 }
 
--- a/crates/sidecar/src/configuration/active.rs
+++ b/crates/sidecar/src/configuration/active.rs
@@ -10,7 +10,7 @@
 
 use crate::metrics::Metrics;
 
-/// Peers whose rulesets a node asks for that may have read an older copy of the table.
+/// Peers that a node asks for their rulesets after it may have read an older copy of the table.
 const CONFIRMATIONS: u32 = 2;
 
 /// The ruleset in force. Its revision and the version of its routes never go back.
@@ -55,6 +55,11 @@
         self.current.borrow().clone()
     }
 
+    /// Returns the ruleset for a peer: the one in force, without what only this node still holds.
+    pub fn for_peers(&self) -> Option<Ruleset> {
+        self.current().map(|known| self.merge.borrow().without_held(&known))
+    }
+
     /// Returns the revision in force, 0 if there is no ruleset.
     pub fn revision(&self) -> u64 {
         *self.revision.borrow()
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -101,15 +101,12 @@
             Reply::Noted
         }
         Frame::Fetch => {
-            let rules = peers.rules.current();
+            let rules = peers.rules.for_peers();
             Reply::Ruleset(
                 rules.and_then(|rules| EarlierRuleset::from_ruleset(&rules)).map(Box::new),
             )
         }
-        Frame::FetchRules => {
-            let rules = peers.rules.current();
-            Reply::Rules(rules.map(|rules| Box::new((*rules).clone())))
-        }
+        Frame::FetchRules => Reply::Rules(peers.rules.for_peers().map(Box::new)),
         // No node counts the requests of workspaces or coordinates roll-outs yet.
         Frame::Tokens(_) => Reply::Tokens(Vec::new()),
         Frame::Evidence(_) => Reply::Exposure(None),
