--- a/crates/policy/tests/era.rs
+++ b/crates/policy/tests/era.rs
@@ -1,6 +1,6 @@
 //! A store that comes back from an older copy: what stays in force, and when nodes call it again.
 
-use policy::{EraMerge, Time, reread_wait_us, rewrite_wait_us};
+use policy::{EraMerge, Time, Watchers, reread_wait_us, rewrite_wait_us};
 use world::{CallerLimits, Revision, Rollout, Routing, Ruleset};
 
 /// A ruleset as a node reads it.
@@ -170,3 +170,18 @@
     let waits = [1, 2, 3, 4, 9].map(|rejected| reread_wait_us(rejected, 0.5));
     assert_eq!(waits, [0, 200_000, 400_000, 800_000, 1_000_000]);
 }
+
+// Guards against a whole read of the table by every node after an outage in which all watchers were
+// lost, as each has to read it anew in a new era.
+#[test]
+fn of_75_nodes_in_4_data_centres_at_most_16_read_the_whole_table() {
+    let long_after = Time(60_000_000);
+    let reads = |node: &usize| {
+        let rank = node / 4;
+        let mut watchers = Watchers::new(Time(0), format!("n-{node}").into(), 1);
+        let now_and_later = [Time(0), long_after];
+        now_and_later.into_iter().any(|now| watchers.should_watch(now, false, rank, 4))
+    };
+    let readers: Vec<usize> = (0..75).filter(reads).collect();
+    assert!((4..=16).contains(&readers.len()), "{readers:?}");
+}
