--- a/crates/sidecar/src/entry/keys.rs
+++ b/crates/sidecar/src/entry/keys.rs
@@ -56,6 +56,9 @@
     /// key.
     pub(super) fn check_key(&self, head: &Parts) -> Result<Option<KeyHolder>, Refused> {
         let Some(ruleset) = self.ruleset.current() else { return Ok(None) };
+        if ruleset.routing.workspaces.is_empty() {
+            return Ok(None);
+        }
         let found = host(head).and_then(|host| ruleset.routing.route(host, head.uri.path()));
         found.map_or(Ok(None), |route| self.admit_key(head, route, &ruleset))
     }
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -101,15 +101,12 @@
             Reply::Noted
         }
         Frame::Fetch => {
-            let rules = peers.rules.current();
+            let rules = peers.rules.for_peers();
             Reply::Ruleset(
                 rules.and_then(|rules| EarlierRuleset::from_ruleset(&rules)).map(Box::new),
             )
         }
-        Frame::FetchRules => {
-            let rules = peers.rules.current();
-            Reply::Rules(rules.map(|rules| Box::new((*rules).clone())))
-        }
+        Frame::FetchRules => Reply::Rules(peers.rules.for_peers().map(Box::new)),
         Frame::Tokens(ask) => {
             peer.last_used.set(peers.now());
             Reply::Tokens(Box::new(peers.answer_tokens(&peer.node().name, &ask)))
