--- a/crates/policy/src/rollout/coordinator.rs
+++ b/crates/policy/src/rollout/coordinator.rs
@@ -4,10 +4,10 @@
 use world::{Name, Rollout, RolloutState};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::Time;
 use crate::rollout::evidence::{EvidenceReport, RouteEvidence, class_end_us};
 use crate::rollout::exposure::ExposureGrant;
 use crate::rollout::verdict::{Finding, RouteTests, THRESHOLD};
-use crate::{Member, Time};
 
 /// The time after its start in which the coordinator collects the counts of all guards before it tests
 /// them, in microseconds.
@@ -55,6 +55,10 @@
 const SWITCH_MOST_US: u64 = 1_500_000;
 /// The longest such wait, as a share of the period.
 const SWITCH_SHARE: f64 = 0.12;
+/// The time without a target of another version after which the ordered one gets all, in microseconds.
+const ALONE_US: u64 = 2_000_000;
+/// The time without a report after which a coordinator is deserted, in microseconds.
+const DESERTED_US: u64 = 5_000_000;
 /// The share of the service's nodes that must report for a version to get any request.
 const HALF: f64 = 0.5;
 /// The share of the service's nodes that must report for a version to be completed.
@@ -89,9 +93,9 @@
 
 /// Sorts the nodes in the order in which guards ask them to coordinate a service's roll-out, by
 /// rendezvous hashing.
-pub fn coordinator_order(service: &str, nodes: &mut [&Member]) {
+pub fn coordinator_order<T>(service: &str, nodes: &mut [T], name: impl Fn(&T) -> &str) {
     let seed = xxh3_64(service.as_bytes());
-    nodes.sort_by_cached_key(|node| xxh3_64_with_seed(node.name.as_bytes(), seed));
+    nodes.sort_by_cached_key(|node| xxh3_64_with_seed(name(node).as_bytes(), seed));
 }
 
 /// Returns the id of a route in reports.
@@ -129,6 +133,8 @@
     tests: Vec<RouteTests>,
     /// Versions of which earlier orders were rolled back.
     rejected: Vec<Name>,
+    /// Since when no target of another version takes requests.
+    alone_since: Option<Time>,
     /// Requests that reached the service since the order.
     requests: u64,
     /// Of these, those that reached the ordered version.
@@ -136,8 +142,8 @@
     /// Answers of the ordered version that count: not those of targets of which bad answers came from
     /// one alone, nor those before it was found.
     answers: u64,
-    /// The share of the service's nodes that are up and have reported.
-    coverage: f64,
+    /// The service's nodes that are up.
+    nodes: usize,
     /// The state that the store has.
     stored: Option<RolloutState>,
 }
@@ -161,10 +167,11 @@
             reporters: Vec::new(),
             tests: Vec::new(),
             rejected,
+            alone_since: None,
             requests: 0,
             exposed: 0,
             answers: 0,
-            coverage: 0.0,
+            nodes: 0,
             stored: None,
         }
     }
@@ -174,15 +181,16 @@
         &self.order
     }
 
-    /// Sets the share of the service's nodes that are up and report. Without nearly all of them, the
-    /// version is not completed.
-    pub fn set_coverage(&mut self, coverage: f64) {
-        self.coverage = coverage;
+    /// Sets how many nodes of the service are up. Without the reports of half of them, nothing is
+    /// decided; without nearly all, the version is not completed.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = nodes;
     }
 
-    /// Returns the names of the guards that reported recently.
-    pub fn reporters(&self, now: Time) -> impl Iterator<Item = &Name> {
-        self.fresh(now).map(|reporter| &reporter.name)
+    /// Returns whether no guard reports to this coordinator any more, since they found another one.
+    pub fn is_deserted(&self, now: Time) -> bool {
+        now.since(self.opened) >= DESERTED_US
+            && self.reporters.iter().all(|reporter| now.since(reporter.at) >= DESERTED_US)
     }
 
     /// Handles a guard's report, and returns its grant.
@@ -266,7 +274,7 @@
             self.tests.iter_mut().for_each(RouteTests::forget_new);
             self.answers = 0;
         }
-        if is_bad && !self.has_verdict() {
+        if is_bad && !self.has_verdict() && self.coverage(now) >= HALF {
             self.enter(now, Phase::RolledBack);
         }
     }
@@ -274,6 +282,8 @@
     /// Goes on to the next phase where that is due. Also to be called without reports.
     pub fn advance(&mut self, now: Time) {
         self.elapsed_us = now.since(self.begun);
+        let is_alone = self.others(now).all(|reporter| reporter.last.slots == 0);
+        self.alone_since = self.alone_since.or(Some(now)).filter(|_| is_alone);
         let period = self.order.period_us as f64;
         let elapsed = self.elapsed_us as f64 / period;
         let in_phase = now.since(self.phase_at);
@@ -284,14 +294,18 @@
                     .any(|(share, answers)| elapsed >= *share && self.answers >= *answers);
                 if may_end && self.is_quiet() && self.has_room(now) {
                     self.enter(now, Phase::Ramp);
-                } else if elapsed >= LAST_TRIAL {
+                } else if elapsed >= LAST_TRIAL && self.coverage(now) >= HALF {
                     self.enter(now, Phase::RolledBack);
                 }
             }
             Phase::Ramp => {
                 let ramp_us = RAMP_US.max((period * RAMP_SHARE) as u64);
                 let may_end = in_phase >= ramp_us && (self.is_spent() || elapsed >= LAST_RAMP);
-                if may_end && self.is_quiet() && self.is_covered(COMPLETE) && self.has_room(now) {
+                if may_end
+                    && self.is_quiet()
+                    && self.coverage(now) >= COMPLETE
+                    && self.has_room(now)
+                {
                     self.enter(now, Phase::Switch);
                 }
             }
@@ -307,8 +321,9 @@
     }
 
     /// Returns the state that is to be written to the store, if it has another one.
-    pub fn due_state(&self) -> Option<RolloutState> {
+    pub fn due_state(&self, now: Time) -> Option<RolloutState> {
         let due = match self.phase {
+            Phase::Trial | Phase::Ramp | Phase::Switch if self.coverage(now) < HALF => return None,
             Phase::Trial | Phase::Ramp | Phase::Switch => RolloutState::Running,
             Phase::Completing | Phase::Completed => RolloutState::Completed,
             Phase::RolledBack => RolloutState::RolledBack,
@@ -316,6 +331,11 @@
         (self.stored != Some(due)).then_some(due)
     }
 
+    /// Returns whether a verdict is to be written.
+    pub fn has_verdict_due(&self, now: Time) -> bool {
+        self.due_state(now).is_some_and(|state| state != RolloutState::Running)
+    }
+
     /// Handles the state that the store has for this order. A verdict there stands.
     pub fn set_stored(&mut self, now: Time, state: RolloutState) {
         self.stored = Some(state);
@@ -368,7 +388,7 @@
             self.exposed,
             self.requests,
             self.answers,
-            self.coverage * 100.0,
+            self.coverage(now) * 100.0,
         )
     }
 
@@ -380,6 +400,7 @@
             return 0.0;
         }
         match (self.phase, is_new) {
+            (Phase::Trial, true) if self.is_alone(now) => f64::INFINITY,
             (Phase::Trial, true) => self.trial_rate(now, at),
             (Phase::Trial | Phase::Ramp | Phase::RolledBack, false) => f64::INFINITY,
             (Phase::Ramp, true) if version.is_empty() => 0.0,
@@ -411,7 +432,13 @@
         // Until the next report, no more is sent than reaches the service.
         let unseen = service_per_s * UNSEEN_S;
         let part = (left / count as f64).max(left - unseen);
-        if is_chosen && left >= 1.0 && self.is_covered(HALF) { part / SPEND_S } else { 0.0 }
+        if is_chosen && left >= 1.0 && self.coverage(now) >= HALF { part / SPEND_S } else { 0.0 }
+    }
+
+    /// Returns whether no other version has had a target for a while, so that only this one can serve.
+    fn is_alone(&self, now: Time) -> bool {
+        self.alone_since.is_some_and(|since| now.since(since) >= ALONE_US)
+            && self.coverage(now) >= HALF
     }
 
     /// Returns the time that half of the other versions' answers take, in microseconds; 0 if not
@@ -459,8 +486,9 @@
         self.exposed as f64 >= RAMP_SPENT * (share * expected + slack)
     }
 
-    fn is_covered(&self, share: f64) -> bool {
-        self.coverage >= share
+    /// Returns the share of the service's nodes that report.
+    fn coverage(&self, now: Time) -> f64 {
+        self.fresh(now).count() as f64 / self.nodes.max(1) as f64
     }
 
     /// Returns the requests a second that reached the service since the order.
--- a/crates/policy/tests/rollout.rs
+++ b/crates/policy/tests/rollout.rs
@@ -224,13 +224,13 @@
         }
         for (at, node) in nodes.iter_mut().enumerate() {
             if (now.0 + at as u64 * STEP_US).is_multiple_of(REPORT_US) {
-                coordinator.set_coverage(1.0);
+                coordinator.set_nodes(2 * TARGETS);
                 let report = node.report(now, &order);
                 let grant = coordinator.report(now, &node.name, report);
                 node.exposure.granted(now, &grant);
             }
         }
-        if let Some(state) = coordinator.due_state() {
+        if let Some(state) = coordinator.due_state(now) {
             coordinator.set_stored(now, state);
         }
         if seen.state != coordinator.state() {
--- a/crates/sidecar/src/peers/rollout.rs
+++ b/crates/sidecar/src/peers/rollout.rs
@@ -29,6 +29,8 @@
 /// The longest wait for a link to a coordinator and for its reply, each. A node that does not reply is
 /// avoided; without a grant, little is lost meanwhile.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often in a row a node may decline before another one is asked: it may not have the order yet.
+const MOST_DECLINED: u32 = 3;
 /// The nodes that a guard asks in one interval, at most.
 const MOST_ASKED: usize = 3;
 /// How long a node that does not coordinate is not asked again, in microseconds.
@@ -51,6 +53,15 @@
     pub limit: ExposureLimit,
 }
 
+/// What a guard remembers of the nodes that it asked.
+#[derive(Debug, Default)]
+struct Asked {
+    /// Nodes that are not asked, and until when.
+    avoided: Vec<(Name, Time)>,
+    /// How often in a row the first of the others declined.
+    declined: u32,
+}
+
 /// A roll-out that this node coordinates.
 #[derive(Debug)]
 struct Coordinated {
@@ -65,6 +76,18 @@
     logged: String,
 }
 
+/// What a coordinator is to do at the store.
+enum Task {
+    /// Nothing for now.
+    Wait,
+    /// Read what it has of the roll-out.
+    Read,
+    /// Write the state.
+    Write(RolloutState),
+    /// Nothing any more: the order was replaced or removed, or guards report to another node.
+    End,
+}
+
 /// The roll-outs that this node coordinates, sorted by service.
 #[derive(Debug, Default)]
 pub(super) struct Rollouts {
@@ -94,7 +117,7 @@
     /// process runs.
     pub(super) async fn report_evidence(self: Rc<Peers>) {
         let mut rules = self.rules.subscribe();
-        let mut avoided: Vec<(Name, Time)> = Vec::new();
+        let mut asked = Asked::default();
         let mut reported = Time::default();
         let mut pause = REPORT_INTERVAL;
         loop {
@@ -112,8 +135,7 @@
                 continue;
             }
             reported = now;
-            avoided.retain(|(_, until)| *until > now);
-            match self.report_to_any(report, &mut avoided).await {
+            match self.report_to_any(report, &mut asked).await {
                 Some(grant) => {
                     if grant.valid_us == HOLD_US {
                         pause = HOLD_INTERVAL;
@@ -129,51 +151,60 @@
     async fn report_to_any(
         self: &Rc<Peers>,
         report: EvidenceReport,
-        avoided: &mut Vec<(Name, Time)>,
+        asked: &mut Asked,
     ) -> Option<ExposureGrant> {
+        let now = self.clock.now();
+        asked.avoided.retain(|(_, until)| *until > now);
         let nodes: Vec<Node> = {
             let members = self.membership.members.borrow();
             let mut all: Vec<&Member> = members.up().chain([members.local_member()]).collect();
-            coordinator_order(&report.service, &mut all);
-            let is_avoided = |member: &Member| avoided.iter().any(|(name, _)| *name == member.name);
-            all.retain(|member| !is_avoided(member));
+            coordinator_order(&report.service, &mut all, |member| &member.name);
+            all.retain(|member| !asked.avoided.iter().any(|(name, _)| *name == member.name));
             all.into_iter().take(MOST_ASKED).map(node_of).collect()
         };
         for node in nodes {
-            if let Some(grant) = self.report_to(&node, &report).await {
-                return Some(grant);
+            match self.report_to(&node, &report).await {
+                Ok(Some(grant)) => {
+                    asked.declined = 0;
+                    return Some(grant);
+                }
+                Ok(None) if asked.declined < MOST_DECLINED => {
+                    asked.declined += 1;
+                    return None;
+                }
+                Ok(None) => asked.declined = 0,
+                // Nodes of earlier versions do not know the frame.
+                Err(error) => {
+                    tracing::debug!(peer = &*node.name, %error, "rollout: cannot send a report");
+                }
             }
-            avoided.push((node.name, self.clock.now().after(AVOID_US)));
+            asked.avoided.push((node.name, self.clock.now().after(AVOID_US)));
         }
         None
     }
 
     /// Sends a report to a node, which may be this one. `None` if the node does not coordinate the
-    /// roll-out or cannot be reached.
+    /// roll-out.
     async fn report_to(
         self: &Rc<Peers>,
         node: &Node,
         report: &EvidenceReport,
-    ) -> Option<ExposureGrant> {
+    ) -> Result<Option<ExposureGrant>, exchange::Error> {
         if node.name == self.local_node.name {
-            return self.handle_evidence(&node.name, report.clone());
+            return Ok(self.handle_evidence(&node.name, report.clone()));
         }
-        let peer = self.want_link(node, self.clock.now().after(LINK_US))?;
+        let peer = self.want_link(node, self.clock.now().after(LINK_US));
+        let peer = peer.ok_or(exchange::Error::NoLink)?;
         if peer.link().is_none() {
             self.wait_for_link(&peer, REPLY_TIMEOUT).await;
         }
         let frame = Frame::Evidence(Box::new(report.clone()));
         let reply = tokio::time::timeout(REPLY_TIMEOUT, self.request(&peer, &frame)).await;
-        match reply.unwrap_or(Err(exchange::Error::Slow)) {
-            Ok(Reply::Exposure(grant)) => grant,
-            Ok(_) => {
+        match reply.unwrap_or(Err(exchange::Error::Slow))? {
+            Reply::Exposure(grant) => Ok(grant),
+            _ => {
                 tracing::warn!(peer = &*node.name, "rollout: the reply is no grant");
-                None
-            }
-            Err(error) => {
-                // Nodes of earlier versions do not know the frame.
-                tracing::debug!(peer = &*node.name, %error, "rollout: cannot send a report");
-                None
+                Ok(None)
             }
         }
     }
@@ -194,7 +225,7 @@
         if self.rollouts.with(order, |_| ()).is_none() {
             self.begin_rollout(order.clone(), settings);
         }
-        let members = self.coverage(&report.service);
+        let nodes = self.count_nodes(&report.service);
         let is_ordered = report.version == order.version || report.version.is_empty();
         let grant = self.rollouts.with(order, |rollout| {
             if rollout.failing.is_some_and(|since| now.since(since) >= STORE_PATIENCE_US) {
@@ -204,15 +235,14 @@
                 let per_s = if is_ordered { 0.0 } else { f64::INFINITY };
                 return Some(ExposureGrant { order: order.revision, per_s, valid_us: HOLD_US });
             };
-            let reporting = coordinator.reporters(now).count();
-            coordinator.set_coverage(reporting as f64 / members.max(1) as f64);
+            coordinator.set_nodes(nodes);
             Some(coordinator.report(now, name, report))
         });
         grant.flatten()
     }
 
     /// Returns how many nodes of a service are up.
-    fn coverage(&self, service: &Name) -> usize {
+    fn count_nodes(&self, service: &Name) -> usize {
         let members = self.membership.members.borrow();
         let all = members.up().chain([members.local_member()]);
         all.filter(|member| member.service.as_ref() == Some(service)).count()
@@ -245,44 +275,47 @@
     /// the status up to date.
     async fn coordinate(self: Rc<Peers>, order: Rollout, settings: RolloutSettings) {
         loop {
-            let is_ordered = self.rules.current().is_some_and(|rules| {
-                rules.rollout(&order.service).is_some_and(|current| *current == order)
-            });
-            if !is_ordered {
-                self.rollouts.coordinated.borrow_mut().retain(|other| other.order != order);
-                return;
-            }
-            let due = self.rollouts.with(&order, |rollout| {
-                let now = self.clock.now();
-                let coordinator = rollout.coordinator.as_mut()?;
-                coordinator.advance(now);
-                let step = coordinator.step();
-                if rollout.logged != step {
-                    rollout.logged = step;
-                    tracing::info!("rollout: {}", coordinator.describe(now));
-                }
-                coordinator.due_state()
-            });
-            let called = match due {
-                None => return,
-                Some(Some(state)) => Some(self.write_status(&order, settings, state).await),
-                Some(None) => {
-                    let is_read =
-                        self.rollouts.with(&order, |rollout| rollout.coordinator.is_some());
-                    match is_read {
-                        Some(false) => Some(self.read_status(&order, settings).await),
-                        _ => None,
-                    }
-                }
+            let result = match self.next_task(&order) {
+                Task::Wait => None,
+                Task::Read => Some(self.read_status(&order, settings).await),
+                Task::Write(state) => Some(self.write_status(&order, settings, state).await),
+                Task::End => break,
             };
-            self.note_store(&order, called);
+            self.note_store(&order, result);
             tokio::time::sleep(STORE_PAUSE).await;
         }
+        tracing::debug!(service = &*order.service, "rollout: this node no longer coordinates it");
+        self.rollouts.coordinated.borrow_mut().retain(|other| other.order != order);
+    }
+
+    /// Goes on with a roll-out, and returns what is to be done at the store.
+    fn next_task(&self, order: &Rollout) -> Task {
+        let rules = self.rules.current();
+        let current = rules.as_ref().and_then(|rules| rules.rollout(&order.service));
+        if current != Some(order) {
+            return Task::End;
+        }
+        let now = self.clock.now();
+        let task = self.rollouts.with(order, |rollout| {
+            let Some(coordinator) = &mut rollout.coordinator else { return Task::Read };
+            coordinator.advance(now);
+            let due = coordinator.due_state(now);
+            if coordinator.is_deserted(now) && !coordinator.has_verdict_due(now) {
+                return Task::End;
+            }
+            let step = coordinator.step();
+            if rollout.logged != step {
+                rollout.logged = step;
+                tracing::info!("rollout: {}", coordinator.describe(now));
+            }
+            due.map_or(Task::Wait, Task::Write)
+        });
+        task.unwrap_or(Task::End)
     }
 
     /// Records whether the store answers, and logs each change of that.
-    fn note_store(&self, order: &Rollout, called: Option<Result<(), Error>>) {
-        let Some(result) = called else { return };
+    fn note_store(&self, order: &Rollout, result: Option<Result<(), Error>>) {
+        let Some(result) = result else { return };
         let now = self.clock.now();
         self.rollouts.with(order, |rollout| match result {
             Ok(()) => rollout.failing = None,
@@ -321,9 +354,9 @@
         if self.rollouts.with(order, |rollout| rollout.failing.is_some()) == Some(true) {
             // An earlier write may have been executed without an answer.
             self.read_status(order, settings).await?;
-            let due = self.rollouts.with(order, |rollout| {
-                rollout.coordinator.as_ref().and_then(Coordinator::due_state)
-            });
+            let due = self
+                .rollouts
+                .with(order, |rollout| rollout.coordinator.as_ref()?.due_state(self.clock.now()));
             if due.flatten() != Some(state) {
                 return Ok(());
             }
