Roll-outs: answers that start on slow VMs do not count, a trial ends in favour only

Cause: in a trial of three roll-outs the good version was rolled back in the ramp, where new targets begin work before their VM's slowness is known. Change: such answers count like those of cold targets; a few late answers are tolerated; a trial ends only once all answers together favour a good version; a coordinator reads the store only once half of the nodes report to it.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -484,6 +484,16 @@
         known.then_some(self.slowness)
     }
 
+    /// Returns whether work that starts now may take longer because of the VM, as far as its slowness is
+    /// known. Short work that starts without a probe is taken not to.
+    pub fn may_be_slow(&self, now: Time, work_us: u64) -> bool {
+        match self.known_slowness(now) {
+            Some(slowness) => slowness >= QUIET_RATIO,
+            None if work_us < SHORT_WORK_US => false,
+            None => self.reports_slowness || self.answered_at == Time::default(),
+        }
+    }
+
     /// Returns the average work time on a VM that is not slow, in microseconds.
     pub fn work_us(&self) -> u64 {
         self.work_us as u64
--- a/crates/policy/src/rollout/coordinator.rs
+++ b/crates/policy/src/rollout/coordinator.rs
@@ -131,8 +131,8 @@
     reporters: Vec<Reporter>,
     /// Sorted by route.
     tests: Vec<RouteTests>,
-    /// Versions of which earlier orders were rolled back.
-    rejected: Vec<Name>,
+    /// Versions of which earlier orders were rolled back. `None` until the store was read.
+    rejected: Option<Vec<Name>>,
     /// Since when no target of another version takes requests.
     alone_since: Option<Time>,
     /// Requests that reached the service since the order.
@@ -149,13 +149,9 @@
 }
 
 impl Coordinator {
-    /// Creates the coordinator of an order. `rejected` are versions that get nothing.
-    pub fn new(
-        now: Time,
-        order: Rollout,
-        limit: ExposureLimit,
-        rejected: Vec<Name>,
-    ) -> Coordinator {
+    /// Creates the coordinator of an order. It grants nothing to the ordered version until
+    /// [`Coordinator::set_rejected`].
+    pub fn new(now: Time, order: Rollout, limit: ExposureLimit) -> Coordinator {
         Coordinator {
             order,
             limit,
@@ -166,7 +162,7 @@
             phase_at: now,
             reporters: Vec::new(),
             tests: Vec::new(),
-            rejected,
+            rejected: None,
             alone_since: None,
             requests: 0,
             exposed: 0,
@@ -181,6 +177,18 @@
         &self.order
     }
 
+    /// Sets the versions of which earlier orders were rolled back.
+    pub fn set_rejected(&mut self, mut rejected: Vec<Name>) {
+        rejected.retain(|version| *version != self.order.version);
+        self.rejected = Some(rejected);
+    }
+
+    /// Returns whether the store is to be read: half of the service's nodes report, so that this is the
+    /// coordinator.
+    pub fn needs_read(&self, now: Time) -> bool {
+        self.rejected.is_none() && self.coverage(now) >= HALF
+    }
+
     /// Sets how many nodes of the service are up. Without the reports of half of them, nothing is
     /// decided; without nearly all, the version is not completed.
     pub fn set_nodes(&mut self, nodes: usize) {
@@ -206,8 +214,8 @@
                 at
             }
         };
-        let collects = now.since(self.opened) < COLLECT_US && !self.has_verdict();
-        if collects && report.version == self.order.version {
+        let collects = now.since(self.opened) < COLLECT_US || self.rejected.is_none();
+        if collects && !self.has_verdict() && report.version == self.order.version {
             self.reporters[at].at = now;
             return ExposureGrant { order: self.order.revision, per_s: 0.0, valid_us: GRANT_US };
         }
@@ -274,7 +282,7 @@
             self.tests.iter_mut().for_each(RouteTests::forget_new);
             self.answers = 0;
         }
-        if is_bad && !self.has_verdict() && self.coverage(now) >= HALF {
+        if is_bad && !self.has_verdict() && self.may_decide(now) {
             self.enter(now, Phase::RolledBack);
         }
     }
@@ -294,7 +302,7 @@
                     .any(|(share, answers)| elapsed >= *share && self.answers >= *answers);
                 if may_end && self.is_quiet() && self.has_room(now) {
                     self.enter(now, Phase::Ramp);
-                } else if elapsed >= LAST_TRIAL && self.coverage(now) >= HALF {
+                } else if elapsed >= LAST_TRIAL && self.may_decide(now) {
                     self.enter(now, Phase::RolledBack);
                 }
             }
@@ -323,6 +331,7 @@
     /// Returns the state that is to be written to the store, if it has another one.
     pub fn due_state(&self, now: Time) -> Option<RolloutState> {
         let due = match self.phase {
+            _ if self.rejected.is_none() => return None,
             Phase::Trial | Phase::Ramp | Phase::Switch if self.coverage(now) < HALF => return None,
             Phase::Trial | Phase::Ramp | Phase::Switch => RolloutState::Running,
             Phase::Completing | Phase::Completed => RolloutState::Completed,
@@ -375,11 +384,14 @@
 
     /// Describes the step and the figures that decide on the next one, for the log.
     pub fn describe(&self, now: Time) -> String {
-        let worst = self.tests.iter().map(RouteTests::sum).fold(0.0, f64::max);
+        let sums = self.tests.iter().map(RouteTests::sums);
+        let (failures, delays) = sums.fold((0.0, 0.0), |(most, last), (failures, delays)| {
+            (f64::max(most, failures), f64::max(last, delays))
+        });
         let (takers, slots) = (self.takers(now).count(), self.room(now));
         format!(
-            "{} {}: {}, after {:.1} s of {:.1}, {} of {} requests, {} answers, worst sum {worst:.1} of \
-             {THRESHOLD}, {takers} targets with {slots} slots, {:.0}% of the nodes report",
+            "{} {}: {}, after {:.1} s of {:.1}, {} of {} requests, {} answers, sums {failures:.1} of failures and \
+             {delays:.1} of delays, at most {THRESHOLD}, {takers} targets with {slots} slots, {:.0}% of the nodes report",
             self.order.service,
             self.order.version,
             self.phase,
@@ -396,7 +408,10 @@
     fn rate(&self, now: Time, at: usize) -> f64 {
         let version = &self.reporters[at].last.version;
         let is_new = *version == self.order.version || version.is_empty();
-        if !is_new && self.rejected.contains(version) {
+        let Some(rejected) = &self.rejected else {
+            return if is_new { 0.0 } else { f64::INFINITY };
+        };
+        if !is_new && rejected.contains(version) {
             return 0.0;
         }
         match (self.phase, is_new) {
@@ -476,7 +491,9 @@
     }
 
     fn is_quiet(&self) -> bool {
-        self.tests.iter().all(|test| test.sum() < THRESHOLD * QUIET)
+        let all = self.tests.last().filter(|test| test.route == ALL_ROUTES);
+        all.is_none_or(RouteTests::favour_good)
+            && self.tests.iter().all(|test| test.sum() < THRESHOLD * QUIET)
     }
 
     /// Returns whether nearly all that the bound is expected to allow was sent.
@@ -486,6 +503,10 @@
         self.exposed as f64 >= RAMP_SPENT * (share * expected + slack)
     }
 
+    fn may_decide(&self, now: Time) -> bool {
+        self.rejected.is_some() && self.coverage(now) >= HALF
+    }
+
     /// Returns the share of the service's nodes that report.
     fn coverage(&self, now: Time) -> f64 {
         self.fresh(now).count() as f64 / self.nodes.max(1) as f64
--- a/crates/policy/src/rollout/verdict.rs
+++ b/crates/policy/src/rollout/verdict.rs
@@ -18,6 +18,8 @@
 const BAD_SHARE: f64 = 0.4;
 /// A share of answers that is tolerated to take twice as long.
 const USUAL_SHARE: f64 = 0.1;
+/// A share of answers that is tolerated to be as late as those of a bad version.
+const RARE_SHARE: f64 = 0.03;
 /// The classes by which tolerated answers are later.
 const USUAL_SHIFT: usize = 2;
 /// The classes by which the delayed answers of a bad version are later: 4 and 8 times the time.
@@ -32,6 +34,8 @@
 const PRIOR: f64 = 10.0;
 /// The same for times, over all classes.
 const TIME_PRIOR: f64 = 2.0;
+/// The log-likelihood ratio from which on answers favour one side.
+const FAVOUR: f64 = 1.0;
 /// The share of bad answers that may come from one of several targets.
 const LONE_SHARE: f64 = 0.8;
 
@@ -102,7 +106,10 @@
         let shares = self.shares();
         let later = |at: usize, shift: usize| at.checked_sub(shift).map_or(0.0, |at| shares[at]);
         let good: [f64; TIME_CLASSES] = std::array::from_fn(|at| {
-            (1.0 - USUAL_SHARE) * shares[at] + USUAL_SHARE * later(at, USUAL_SHIFT)
+            let shifted: f64 = BAD_SHIFTS.iter().map(|shift| later(at, *shift)).sum();
+            (1.0 - USUAL_SHARE - RARE_SHARE) * shares[at]
+                + USUAL_SHARE * later(at, USUAL_SHIFT)
+                + RARE_SHARE * shifted / BAD_SHIFTS.len() as f64
         });
         let bad: [f64; TIME_CLASSES] = std::array::from_fn(|at| {
             let shifted: f64 = BAD_SHIFTS.iter().map(|shift| later(at, *shift)).sum();
@@ -146,6 +153,8 @@
 struct Test {
     /// At least 0.
     sum: f64,
+    /// The same over all answers, without a lower limit. `None` before the first.
+    whole: Option<f64>,
     /// Bad answers by target since the sum was 0, sorted by the guard's name.
     bad: Vec<(Name, u64)>,
     /// What requests that still run count by now, sorted by the guard's name.
@@ -156,6 +165,7 @@
     /// Adds answers of one target.
     fn add(&mut self, guard: &Name, gain: Gain) {
         self.sum = (self.sum + gain.sum).max(0.0);
+        self.whole = Some(self.whole.unwrap_or_default() + gain.sum);
         if self.sum == 0.0 {
             self.bad.clear();
             return;
@@ -179,6 +189,12 @@
         self.sum + self.running.iter().map(|(_, gain)| gain.sum).sum::<f64>()
     }
 
+    /// Returns whether all answers together, with what runs, show a good version rather than a bad one.
+    /// Without answers, nothing speaks against it.
+    fn favours_good(&self) -> bool {
+        self.whole.is_none_or(|whole| whole + self.total() - self.sum <= -FAVOUR)
+    }
+
     /// Returns whether nearly all bad answers are of one target.
     fn is_lone(&self, guard: &Name) -> bool {
         let running = self.running.iter().map(|(name, gain)| (name, gain.bad));
@@ -245,6 +261,16 @@
         self.failures.total().max(self.delays.total())
     }
 
+    /// Returns whether the answers show a good version rather than a bad one.
+    pub(super) fn favour_good(&self) -> bool {
+        self.failures.favours_good() && self.delays.favours_good()
+    }
+
+    /// Returns the sums of the tests on failures and on delays.
+    pub(super) fn sums(&self) -> (f64, f64) {
+        (self.failures.total(), self.delays.total())
+    }
+
     /// Forgets the answers of the ordered version.
     pub(super) fn forget_new(&mut self) {
         (self.failures, self.delays) = (Test::default(), Test::default());
--- a/crates/policy/tests/rollout.rs
+++ b/crates/policy/tests/rollout.rs
@@ -176,7 +176,8 @@
     for node in &mut nodes {
         assert!(node.exposure.set_order(Time(0), Some(&order)));
     }
-    let mut coordinator = Coordinator::new(Time(0), order.clone(), LIMIT, Vec::new());
+    let mut coordinator = Coordinator::new(Time(0), order.clone(), LIMIT);
+    coordinator.set_rejected(Vec::new());
     let mut running: Vec<Running> = Vec::new();
     let mut seen = Seen {
         state: RolloutState::Running,
--- a/crates/sidecar/src/guard/rollout.rs
+++ b/crates/sidecar/src/guard/rollout.rs
@@ -112,7 +112,8 @@
         let (order, version, cold) = {
             let admission = &self.state.borrow().admission;
             let (order, version, _) = admission.exposure().order(now)?;
-            (order.revision, version.clone(), admission.is_cold(now))
+            let cold = admission.is_cold(now) || admission.may_be_slow(now, attempt.work_us);
+            (order.revision, version.clone(), cold)
         };
         let route = self.route_of(attempt);
         let id = self.rollout.evidence.borrow_mut().sent(now, route, cold);
--- a/crates/sidecar/src/peers/rollout.rs
+++ b/crates/sidecar/src/peers/rollout.rs
@@ -19,8 +19,10 @@
 
 /// Time between two reports of a guard while a roll-out runs.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-/// The same while the coordinator reads the store.
-const HOLD_INTERVAL: Duration = Duration::from_millis(50);
+/// The same in the first time after the guard has seen the order, and that time in microseconds: a node
+/// that restarts waits for the verdict.
+const FIRST_INTERVAL: Duration = Duration::from_millis(100);
+const FIRST_US: u64 = 1_000_000;
 /// The same once there is a verdict, in microseconds: a coordinator may still find that the store has
 /// another one.
 const LATE_INTERVAL_US: u64 = 1_000_000;
@@ -37,12 +39,10 @@
 const AVOID_US: u64 = 2_000_000;
 /// How long a link to the coordinator is wanted, in microseconds.
 const LINK_US: u64 = 5_000_000;
-/// The time for which a grant holds while the coordinator reads the store, in microseconds.
-const HOLD_US: u64 = 300_000;
 /// How long the store may fail before the node leaves the roll-out to others, in microseconds.
 const STORE_PATIENCE_US: u64 = 1_000_000;
-/// The pause after a failed call of the store.
-const STORE_PAUSE: Duration = Duration::from_millis(250);
+/// Time between two steps of a coordinator, and thus two calls of the store.
+const STEP_PAUSE: Duration = Duration::from_millis(150);
 
 /// What the node needs to take part in roll-outs.
 #[derive(Clone, Copy, Debug)]
@@ -66,8 +66,7 @@
 #[derive(Debug)]
 struct Coordinated {
     order: Rollout,
-    /// `None` until the store was read.
-    coordinator: Option<Coordinator>,
+    coordinator: Coordinator,
     /// The version of the status row; 0 if there is none.
     row: u64,
     /// Since when the store fails.
@@ -135,10 +134,11 @@
                 continue;
             }
             reported = now;
+            let age_us = report.age_us;
             match self.report_to_any(report, &mut asked).await {
                 Some(grant) => {
-                    if grant.valid_us == HOLD_US {
-                        pause = HOLD_INTERVAL;
+                    if age_us < FIRST_US {
+                        pause = FIRST_INTERVAL;
                     }
                     self.guard.exposure_granted(&grant);
                 }
@@ -226,15 +226,11 @@
             self.begin_rollout(order.clone(), settings);
         }
         let nodes = self.count_nodes(&report.service);
-        let is_ordered = report.version == order.version || report.version.is_empty();
         let grant = self.rollouts.with(order, |rollout| {
             if rollout.failing.is_some_and(|since| now.since(since) >= STORE_PATIENCE_US) {
                 return None;
             }
-            let Some(coordinator) = &mut rollout.coordinator else {
-                let per_s = if is_ordered { 0.0 } else { f64::INFINITY };
-                return Some(ExposureGrant { order: order.revision, per_s, valid_us: HOLD_US });
-            };
+            let coordinator = &mut rollout.coordinator;
             coordinator.set_nodes(nodes);
             Some(coordinator.report(now, name, report))
         });
@@ -252,7 +248,7 @@
     fn begin_rollout(self: &Rc<Peers>, order: Rollout, settings: RolloutSettings) {
         let begun = Coordinated {
             order: order.clone(),
-            coordinator: None,
+            coordinator: Coordinator::new(self.clock.now(), order.clone(), settings.limit),
             row: 0,
             failing: None,
             logged: String::new(),
@@ -282,7 +278,7 @@
                 Task::End => break,
             };
             self.note_store(&order, result);
-            tokio::time::sleep(STORE_PAUSE).await;
+            tokio::time::sleep(STEP_PAUSE).await;
         }
         tracing::debug!(service = &*order.service, "rollout: this node no longer coordinates it");
         self.rollouts.coordinated.borrow_mut().retain(|other| other.order != order);
@@ -297,7 +293,7 @@
         }
         let now = self.clock.now();
         let task = self.rollouts.with(order, |rollout| {
-            let Some(coordinator) = &mut rollout.coordinator else { return Task::Read };
+            let coordinator = &mut rollout.coordinator;
             coordinator.advance(now);
             let due = coordinator.due_state(now);
             if coordinator.is_deserted(now) && !coordinator.has_verdict_due(now) {
@@ -308,7 +304,11 @@
                 rollout.logged = step;
                 tracing::info!("rollout: {}", coordinator.describe(now));
             }
-            due.map_or(Task::Wait, Task::Write)
+            match due {
+                _ if coordinator.needs_read(now) => Task::Read,
+                Some(state) => Task::Write(state),
+                None => Task::Wait,
+            }
         });
         task.unwrap_or(Task::End)
     }
@@ -328,17 +328,13 @@
         });
     }
 
-    /// Reads what the store has of the service's roll-outs, and creates the coordinator if there is
-    /// none.
+    /// Reads what the store has of the service's roll-outs, and tells the coordinator.
     async fn read_status(&self, order: &Rollout, settings: RolloutSettings) -> Result<(), Error> {
         let rejected = rollouts::read_rejected(&settings.store, &order.service).await?;
         let row = rollouts::read_status(&settings.store, &order.service).await?;
         let now = self.clock.now();
         self.rollouts.with(order, |rollout| {
-            rollout.coordinator.get_or_insert_with(|| {
-                let others = rejected.into_iter().filter(|version| *version != order.version);
-                Coordinator::new(now, order.clone(), settings.limit, others.collect())
-            });
+            rollout.coordinator.set_rejected(rejected);
             rollout.note_row(now, row);
         });
         Ok(())
@@ -356,7 +352,7 @@
             self.read_status(order, settings).await?;
             let due = self
                 .rollouts
-                .with(order, |rollout| rollout.coordinator.as_ref()?.due_state(self.clock.now()));
+                .with(order, |rollout| rollout.coordinator.due_state(self.clock.now()));
             if due.flatten() != Some(state) {
                 return Ok(());
             }
@@ -372,10 +368,9 @@
                 let now = self.clock.now();
                 self.rollouts.with(order, |rollout| {
                     rollout.row = version;
-                    if let Some(coordinator) = &mut rollout.coordinator {
-                        coordinator.set_stored(now, state);
-                        tracing::info!(%state, "rollout: written, {}", coordinator.describe(now));
-                    }
+                    rollout.coordinator.set_stored(now, state);
+                    let step = rollout.coordinator.describe(now);
+                    tracing::info!(%state, "rollout: written, {step}");
                 });
                 Ok(())
             }
@@ -391,13 +386,12 @@
 impl Coordinated {
     /// Takes over what the store has. A state of an earlier order counts as none.
     fn note_row(&mut self, now: Time, row: Option<StatusRow>) {
-        let Some(coordinator) = &mut self.coordinator else { return };
         self.row = row.as_ref().map_or(0, |row| row.version);
         let current =
             row.filter(|row| row.version > self.order.revision && row.target == self.order.version);
         match current {
-            Some(row) => coordinator.set_stored(now, row.state),
-            None => coordinator.row_lost(),
+            Some(row) => self.coordinator.set_stored(now, row.state),
+            None => self.coordinator.row_lost(),
         }
     }
 }
