--- a/crates/sidecar/src/peers/rollout.rs
+++ b/crates/sidecar/src/peers/rollout.rs
@@ -19,8 +19,10 @@
 
 /// Time between two reports of a guard while a roll-out runs.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-/// The same while the coordinator reads the store.
-const HOLD_INTERVAL: Duration = Duration::from_millis(50);
+/// The same in the first time after the guard has seen the order, and that time in microseconds: a node
+/// that restarts waits for the verdict.
+const FIRST_INTERVAL: Duration = Duration::from_millis(100);
+const FIRST_US: u64 = 1_000_000;
 /// The same once there is a verdict, in microseconds: a coordinator may still find that the store has
 /// another one.
 const LATE_INTERVAL_US: u64 = 1_000_000;
@@ -29,18 +31,18 @@
 /// The longest wait for a link to a coordinator and for its reply, each. A node that does not reply is
 /// avoided; without a grant, little is lost meanwhile.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often in a row a node may decline before another one is asked: it may not have the order yet.
+const MOST_DECLINED: u32 = 3;
 /// The nodes that a guard asks in one interval, at most.
 const MOST_ASKED: usize = 3;
 /// How long a node that does not coordinate is not asked again, in microseconds.
 const AVOID_US: u64 = 2_000_000;
 /// How long a link to the coordinator is wanted, in microseconds.
 const LINK_US: u64 = 5_000_000;
-/// The time for which a grant holds while the coordinator reads the store, in microseconds.
-const HOLD_US: u64 = 300_000;
 /// How long the store may fail before the node leaves the roll-out to others, in microseconds.
 const STORE_PATIENCE_US: u64 = 1_000_000;
-/// The pause after a failed call of the store.
-const STORE_PAUSE: Duration = Duration::from_millis(250);
+/// Time between two steps of a coordinator, and thus two calls of the store.
+const STEP_PAUSE: Duration = Duration::from_millis(150);
 
 /// What the node needs to take part in roll-outs.
 #[derive(Clone, Copy, Debug)]
@@ -51,12 +53,20 @@
     pub limit: ExposureLimit,
 }
 
+/// What a guard remembers of the nodes that it asked.
+#[derive(Debug, Default)]
+struct Asked {
+    /// Nodes that are not asked, and until when.
+    avoided: Vec<(Name, Time)>,
+    /// How often in a row the first of the others declined.
+    declined: u32,
+}
+
 /// A roll-out that this node coordinates.
 #[derive(Debug)]
 struct Coordinated {
     order: Rollout,
-    /// `None` until the store was read.
-    coordinator: Option<Coordinator>,
+    coordinator: Coordinator,
     /// The version of the status row; 0 if there is none.
     row: u64,
     /// Since when the store fails.
@@ -65,6 +75,18 @@
     logged: String,
 }
 
+/// What a coordinator is to do at the store.
+enum Task {
+    /// Nothing for now.
+    Wait,
+    /// Read what it has of the roll-out.
+    Read,
+    /// Write the state.
+    Write(RolloutState),
+    /// Nothing any more: the order was replaced or removed, or guards report to another node.
+    End,
+}
+
 /// The roll-outs that this node coordinates, sorted by service.
 #[derive(Debug, Default)]
 pub(super) struct Rollouts {
@@ -94,7 +116,7 @@
     /// process runs.
     pub(super) async fn report_evidence(self: Rc<Peers>) {
         let mut rules = self.rules.subscribe();
-        let mut avoided: Vec<(Name, Time)> = Vec::new();
+        let mut asked = Asked::default();
         let mut reported = Time::default();
         let mut pause = REPORT_INTERVAL;
         loop {
@@ -112,11 +134,11 @@
                 continue;
             }
             reported = now;
-            avoided.retain(|(_, until)| *until > now);
-            match self.report_to_any(report, &mut avoided).await {
+            let age_us = report.age_us;
+            match self.report_to_any(report, &mut asked).await {
                 Some(grant) => {
-                    if grant.valid_us == HOLD_US {
-                        pause = HOLD_INTERVAL;
+                    if age_us < FIRST_US {
+                        pause = FIRST_INTERVAL;
                     }
                     self.guard.exposure_granted(&grant);
                 }
@@ -129,51 +151,60 @@
     async fn report_to_any(
         self: &Rc<Peers>,
         report: EvidenceReport,
-        avoided: &mut Vec<(Name, Time)>,
+        asked: &mut Asked,
     ) -> Option<ExposureGrant> {
+        let now = self.clock.now();
+        asked.avoided.retain(|(_, until)| *until > now);
         let nodes: Vec<Node> = {
             let members = self.membership.members.borrow();
             let mut all: Vec<&Member> = members.up().chain([members.local_member()]).collect();
-            coordinator_order(&report.service, &mut all);
-            let is_avoided = |member: &Member| avoided.iter().any(|(name, _)| *name == member.name);
-            all.retain(|member| !is_avoided(member));
+            coordinator_order(&report.service, &mut all, |member| &member.name);
+            all.retain(|member| !asked.avoided.iter().any(|(name, _)| *name == member.name));
             all.into_iter().take(MOST_ASKED).map(node_of).collect()
         };
         for node in nodes {
-            if let Some(grant) = self.report_to(&node, &report).await {
-                return Some(grant);
+            match self.report_to(&node, &report).await {
+                Ok(Some(grant)) => {
+                    asked.declined = 0;
+                    return Some(grant);
+                }
+                Ok(None) if asked.declined < MOST_DECLINED => {
+                    asked.declined += 1;
+                    return None;
+                }
+                Ok(None) => asked.declined = 0,
+                // Nodes of earlier versions do not know the frame.
+                Err(error) => {
+                    tracing::debug!(peer = &*node.name, %error, "rollout: cannot send a report");
+                }
             }
-            avoided.push((node.name, self.clock.now().after(AVOID_US)));
+            asked.avoided.push((node.name, self.clock.now().after(AVOID_US)));
         }
         None
     }
 
     /// Sends a report to a node, which may be this one. `None` if the node does not coordinate the
-    /// roll-out or cannot be reached.
+    /// roll-out.
     async fn report_to(
         self: &Rc<Peers>,
         node: &Node,
         report: &EvidenceReport,
-    ) -> Option<ExposureGrant> {
+    ) -> Result<Option<ExposureGrant>, exchange::Error> {
         if node.name == self.local_node.name {
-            return self.handle_evidence(&node.name, report.clone());
+            return Ok(self.handle_evidence(&node.name, report.clone()));
         }
-        let peer = self.want_link(node, self.clock.now().after(LINK_US))?;
+        let peer = self.want_link(node, self.clock.now().after(LINK_US));
+        let peer = peer.ok_or(exchange::Error::NoLink)?;
         if peer.link().is_none() {
             self.wait_for_link(&peer, REPLY_TIMEOUT).await;
         }
         let frame = Frame::Evidence(Box::new(report.clone()));
         let reply = tokio::time::timeout(REPLY_TIMEOUT, self.request(&peer, &frame)).await;
-        match reply.unwrap_or(Err(exchange::Error::Slow)) {
-            Ok(Reply::Exposure(grant)) => grant,
-            Ok(_) => {
+        match reply.unwrap_or(Err(exchange::Error::Slow))? {
+            Reply::Exposure(grant) => Ok(grant),
+            _ => {
                 tracing::warn!(peer = &*node.name, "rollout: the reply is no grant");
-                None
-            }
-            Err(error) => {
-                // Nodes of earlier versions do not know the frame.
-                tracing::debug!(peer = &*node.name, %error, "rollout: cannot send a report");
-                None
+                Ok(None)
             }
         }
     }
@@ -194,25 +225,20 @@
         if self.rollouts.with(order, |_| ()).is_none() {
             self.begin_rollout(order.clone(), settings);
         }
-        let members = self.coverage(&report.service);
-        let is_ordered = report.version == order.version || report.version.is_empty();
+        let nodes = self.count_nodes(&report.service);
         let grant = self.rollouts.with(order, |rollout| {
             if rollout.failing.is_some_and(|since| now.since(since) >= STORE_PATIENCE_US) {
                 return None;
             }
-            let Some(coordinator) = &mut rollout.coordinator else {
-                let per_s = if is_ordered { 0.0 } else { f64::INFINITY };
-                return Some(ExposureGrant { order: order.revision, per_s, valid_us: HOLD_US });
-            };
-            let reporting = coordinator.reporters(now).count();
-            coordinator.set_coverage(reporting as f64 / members.max(1) as f64);
+            let coordinator = &mut rollout.coordinator;
+            coordinator.set_nodes(nodes);
             Some(coordinator.report(now, name, report))
         });
         grant.flatten()
     }
 
     /// Returns how many nodes of a service are up.
-    fn coverage(&self, service: &Name) -> usize {
+    fn count_nodes(&self, service: &Name) -> usize {
         let members = self.membership.members.borrow();
         let all = members.up().chain([members.local_member()]);
         all.filter(|member| member.service.as_ref() == Some(service)).count()
@@ -222,7 +248,7 @@
     fn begin_rollout(self: &Rc<Peers>, order: Rollout, settings: RolloutSettings) {
         let begun = Coordinated {
             order: order.clone(),
-            coordinator: None,
+            coordinator: Coordinator::new(self.clock.now(), order.clone(), settings.limit),
             row: 0,
             failing: None,
             logged: String::new(),
@@ -245,44 +271,51 @@
     /// the status up to date.
     async fn coordinate(self: Rc<Peers>, order: Rollout, settings: RolloutSettings) {
         loop {
-            let is_ordered = self.rules.current().is_some_and(|rules| {
-                rules.rollout(&order.service).is_some_and(|current| *current == order)
-            });
-            if !is_ordered {
-                self.rollouts.coordinated.borrow_mut().retain(|other| other.order != order);
-                return;
-            }
-            let due = self.rollouts.with(&order, |rollout| {
-                let now = self.clock.now();
-                let coordinator = rollout.coordinator.as_mut()?;
-                coordinator.advance(now);
-                let step = coordinator.step();
-                if rollout.logged != step {
-                    rollout.logged = step;
-                    tracing::info!("rollout: {}", coordinator.describe(now));
-                }
-                coordinator.due_state()
-            });
-            let called = match due {
-                None => return,
-                Some(Some(state)) => Some(self.write_status(&order, settings, state).await),
-                Some(None) => {
-                    let is_read =
-                        self.rollouts.with(&order, |rollout| rollout.coordinator.is_some());
-                    match is_read {
-                        Some(false) => Some(self.read_status(&order, settings).await),
-                        _ => None,
-                    }
-                }
+            let result = match self.next_task(&order) {
+                Task::Wait => None,
+                Task::Read => Some(self.read_status(&order, settings).await),
+                Task::Write(state) => Some(self.write_status(&order, settings, state).await),
+                Task::End => break,
             };
-            self.note_store(&order, called);
-            tokio::time::sleep(STORE_PAUSE).await;
+            self.note_store(&order, result);
+            tokio::time::sleep(STEP_PAUSE).await;
+        }
+        tracing::debug!(service = &*order.service, "rollout: this node no longer coordinates it");
+        self.rollouts.coordinated.borrow_mut().retain(|other| other.order != order);
+    }
+
+    /// Goes on with a roll-out, and returns what is to be done at the store.
+    fn next_task(&self, order: &Rollout) -> Task {
+        let rules = self.rules.current();
+        let current = rules.as_ref().and_then(|rules| rules.rollout(&order.service));
+        if current != Some(order) {
+            return Task::End;
         }
+        let now = self.clock.now();
+        let task = self.rollouts.with(order, |rollout| {
+            let coordinator = &mut rollout.coordinator;
+            coordinator.advance(now);
+            let due = coordinator.due_state(now);
+            if coordinator.is_deserted(now) && !coordinator.has_verdict_due(now) {
+                return Task::End;
+            }
+            let step = coordinator.step();
+            if rollout.logged != step {
+                rollout.logged = step;
+                tracing::info!("rollout: {}", coordinator.describe(now));
+            }
+            match due {
+                _ if coordinator.needs_read(now) => Task::Read,
+                Some(state) => Task::Write(state),
+                None => Task::Wait,
+            }
+        });
+        task.unwrap_or(Task::End)
     }
 
     /// Records whether the store answers, and logs each change of that.
-    fn note_store(&self, order: &Rollout, called: Option<Result<(), Error>>) {
-        let Some(result) = called else { return };
+    fn note_store(&self, order: &Rollout, result: Option<Result<(), Error>>) {
+        let Some(result) = result else { return };
         let now = self.clock.now();
         self.rollouts.with(order, |rollout| match result {
             Ok(()) => rollout.failing = None,
@@ -295,17 +328,13 @@
         });
     }
 
-    /// Reads what the store has of the service's roll-outs, and creates the coordinator if there is
-    /// none.
+    /// Reads what the store has of the service's roll-outs, and tells the coordinator.
     async fn read_status(&self, order: &Rollout, settings: RolloutSettings) -> Result<(), Error> {
         let rejected = rollouts::read_rejected(&settings.store, &order.service).await?;
         let row = rollouts::read_status(&settings.store, &order.service).await?;
         let now = self.clock.now();
         self.rollouts.with(order, |rollout| {
-            rollout.coordinator.get_or_insert_with(|| {
-                let others = rejected.into_iter().filter(|version| *version != order.version);
-                Coordinator::new(now, order.clone(), settings.limit, others.collect())
-            });
+            rollout.coordinator.set_rejected(rejected);
             rollout.note_row(now, row);
         });
         Ok(())
@@ -321,9 +350,9 @@
         if self.rollouts.with(order, |rollout| rollout.failing.is_some()) == Some(true) {
             // An earlier write may have been executed without an answer.
             self.read_status(order, settings).await?;
-            let due = self.rollouts.with(order, |rollout| {
-                rollout.coordinator.as_ref().and_then(Coordinator::due_state)
-            });
+            let due = self
+                .rollouts
+                .with(order, |rollout| rollout.coordinator.due_state(self.clock.now()));
             if due.flatten() != Some(state) {
                 return Ok(());
             }
@@ -339,10 +368,9 @@
                 let now = self.clock.now();
                 self.rollouts.with(order, |rollout| {
                     rollout.row = version;
-                    if let Some(coordinator) = &mut rollout.coordinator {
-                        coordinator.set_stored(now, state);
-                        tracing::info!(%state, "rollout: written, {}", coordinator.describe(now));
-                    }
+                    rollout.coordinator.set_stored(now, state);
+                    let step = rollout.coordinator.describe(now);
+                    tracing::info!(%state, "rollout: written, {step}");
                 });
                 Ok(())
             }
@@ -358,13 +386,12 @@
 impl Coordinated {
     /// Takes over what the store has. A state of an earlier order counts as none.
     fn note_row(&mut self, now: Time, row: Option<StatusRow>) {
-        let Some(coordinator) = &mut self.coordinator else { return };
         self.row = row.as_ref().map_or(0, |row| row.version);
         let current =
             row.filter(|row| row.version > self.order.revision && row.target == self.order.version);
         match current {
-            Some(row) => coordinator.set_stored(now, row.state),
-            None => coordinator.row_lost(),
+            Some(row) => self.coordinator.set_stored(now, row.state),
+            None => self.coordinator.row_lost(),
         }
     }
 }
