Calls whose own timeout is short: the likely priority, where keys tell them

Change: where keys are needed, a request without one on a route that is not public gets the median priority of the runs that do not expire before it. Without keys nothing more is inherited than before.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -388,6 +388,12 @@
         room::parent(now, deadline, self.running.iter().map(|running| running.run))
     }
 
+    /// Returns the likely priority of a call that the target makes for one of the running requests.
+    /// `None` if all of them expire before it.
+    pub fn likely_priority(&self, deadline: Time) -> Option<u32> {
+        room::likely_priority(deadline, self.running.iter().map(|running| running.run))
+    }
+
     /// Returns the number of running requests; above [`Admission::slots`] after that was lowered.
     pub fn running(&self) -> u32 {
         self.running.len() as u32
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -264,6 +264,16 @@
     pub aim: Time,
 }
 
+/// Returns the priority of a call that expires at `deadline` and whose run is not known: the median of
+/// the runs that do not expire before it. `None` if there are none.
+pub fn likely_priority(deadline: Time, runs: impl Iterator<Item = Run>) -> Option<u32> {
+    let lasting = runs.filter(|run| deadline <= run.deadline.after(LATE_US));
+    let mut priorities: Vec<u32> = lasting.map(|run| run.priority).collect();
+    priorities.sort_unstable();
+    let middle = priorities.len().checked_sub(1)? / 2;
+    priorities.get(middle).copied()
+}
+
 /// Returns the urgency of a call that expires at `deadline`, from the run that it belongs to: the one
 /// whose deadline is nearest, and of equally near ones the most urgent. `None` if none matches.
 pub fn parent(now: Time, deadline: Time, runs: impl Iterator<Item = Run>) -> Option<Urgency> {
--- a/crates/policy/tests/room.rs
+++ b/crates/policy/tests/room.rs
@@ -348,3 +348,28 @@
         assert_eq!(room::parent(at(40), at(deadline_ms), runs), expected, "{name}");
     }
 }
+
+#[test]
+fn a_call_without_a_known_parent_is_as_urgent_as_the_middle_of_what_may_be_it() {
+    struct Case {
+        name: &'static str,
+        /// Priority and deadline in ms of each running request.
+        runs: &'static [(u32, u64)],
+        priority: Option<u32>,
+    }
+    let cases = [
+        Case { name: "nothing runs", runs: &[], priority: None },
+        Case { name: "all expire before it", runs: &[(0, 300), (1, 400)], priority: None },
+        Case { name: "one may be it", runs: &[(0, 300), (7, 900)], priority: Some(7) },
+        Case { name: "the middle", runs: &[(9, 900), (2, 900), (4, 800)], priority: Some(4) },
+    ];
+    for Case { name, runs, priority } in cases {
+        let runs = runs.iter().map(|(priority, deadline)| Run {
+            priority: *priority,
+            aim: at(*deadline),
+            deadline: at(*deadline),
+            ends: at(0),
+        });
+        assert_eq!(room::likely_priority(at(500), runs), priority, "{name}");
+    }
+}
--- a/crates/sidecar/src/entry/calls.rs
+++ b/crates/sidecar/src/entry/calls.rs
@@ -1,6 +1,6 @@
 //! Calls that this VM's target makes for the requests that it runs, told from callers' requests.
 //!
-//! A call carries no sign of its request, but it expires with it, and the guard knows when what its
+//! A call carries no sign of its request, but it expires no later, and the guard knows when what its
 //! target runs expires. See [`policy::room`] for the match itself.
 
 use http::HeaderMap;
@@ -46,9 +46,16 @@
         let urgency = self.guard.parent(deadline);
         let mut shares = self.match_shares.borrow_mut();
         let is_called = shares.value_mut(&route.name).record(urgency.is_some());
-        let urgency = urgency.filter(|_| needs_key || is_called)?;
-        self.metrics.inherited.inc();
-        Some(urgency)
+        let urgency = match needs_key {
+            // Only the target itself sends requests without a key.
+            true => urgency.or_else(|| {
+                let priority = self.guard.likely_priority(deadline)?;
+                Some(Urgency { priority, aim: arrived.after(route.aim_us) })
+            }),
+            false => urgency.filter(|_| is_called),
+        };
+        self.metrics.inherited.inc_by(u64::from(urgency.is_some()));
+        urgency
     }
 
     /// Returns whether the ruleset in force serves some requests before others.
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -247,6 +247,12 @@
         self.state.borrow().admission.parent(self.clock.now(), deadline)
     }
 
+    /// Returns the likely priority of a call that the target makes and that expires at `deadline`.
+    /// `None` if what runs expires before it.
+    pub fn likely_priority(&self, deadline: Time) -> Option<u32> {
+        self.state.borrow().admission.likely_priority(deadline)
+    }
+
     /// Reports the target as closed to other nodes. Requests that still arrive are accepted until
     /// [`Guard::drain`].
     pub fn announce_drain(&self) {
