A request is not queued twice; refused callers return spread over what they have left

While targets are cold, refused callers came back within 50 to 250 ms, all within the second for which the limit was used up. Change: no second queue once a fifth of the time has passed; Retry-After by the reason of the refusal and the time left (policy::room).

--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -7,7 +7,7 @@
 
 use derive_more::Display;
 
-use crate::Time;
+use crate::{Refusal, Time};
 
 /// How many times its expected time a request is taken to need where its aim is at stake, since
 /// about half of all work takes longer than expected.
@@ -28,6 +28,15 @@
 const MIN_COUNTED_US: f64 = 100_000.0;
 /// Demand below this many requests a second is not kept in mind.
 const MIN_DEMAND: f64 = 0.05;
+/// A request that has waited for this share of its time is not queued once more.
+const REQUEUE_SHARE: f64 = 0.2;
+/// The range of the time after which a refused caller comes back, in microseconds, while targets are
+/// busy: other VMs on the same host keep a VM slow for about 0.1 s.
+const BUSY_RETRY_US: (f64, f64) = (50_000.0, 250_000.0);
+/// The same while a rate holds targets back, which is counted in seconds.
+const RATE_RETRY_US: (f64, f64) = (50_000.0, 1_000_000.0);
+/// The share of the time that a caller has left after which it comes back at the latest.
+const RETRY_LEFT_SHARE: f64 = 1.0 / 3.0;
 /// A call that arrives this much before the end of the run that it belongs to still matches it, in
 /// microseconds: timeouts are passed on in whole milliseconds.
 const EARLY_US: u64 = 3_000;
@@ -241,6 +250,26 @@
     }
 }
 
+/// Returns whether a request that a guard refused to queue, or queued in vain, is queued at another
+/// one. It is not once it has waited for `waited_us` and `left_us` until its deadline are too little
+/// for that: a wait takes up to two fifths of what is left, and its caller can still come back.
+pub fn may_queue_again(waited_us: u64, left_us: u64) -> bool {
+    (waited_us as f64) < REQUEUE_SHARE * (waited_us + left_us) as f64
+}
+
+/// Returns the time after which a refused caller should come back, in microseconds. `draw` is uniform
+/// in 0 to 1, by which callers spread: over the next moments where targets are busy, since a slot comes
+/// free within a request's work, and over a second where a rate holds targets back. It leaves the
+/// caller two thirds of its time.
+pub fn retry_after_us(refusal: Refusal, left_us: u64, draw: f64) -> u64 {
+    let (least_us, most_us) = match refusal {
+        Refusal::Cold | Refusal::Limited => RATE_RETRY_US,
+        _ => BUSY_RETRY_US,
+    };
+    let most_us = most_us.min(left_us as f64 * RETRY_LEFT_SHARE).max(least_us);
+    (least_us + (most_us - least_us) * draw) as u64
+}
+
 /// A request that a target runs, as its calls are matched with it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Run {
--- a/crates/policy/tests/room.rs
+++ b/crates/policy/tests/room.rs
@@ -373,3 +373,27 @@
         assert_eq!(room::likely_priority(at(500), runs), priority, "{name}");
     }
 }
+
+#[test]
+fn refused_callers_come_back_spread_and_with_most_of_their_time() {
+    struct Case {
+        refusal: Refusal,
+        left_ms: u64,
+        /// The earliest and the latest return, in ms.
+        range: (u64, u64),
+    }
+    let cases = [
+        Case { refusal: Refusal::Full, left_ms: 1_500, range: (50, 250) },
+        Case { refusal: Refusal::Full, left_ms: 300, range: (50, 100) },
+        Case { refusal: Refusal::Cold, left_ms: 1_500, range: (50, 500) },
+        Case { refusal: Refusal::Cold, left_ms: 9_000, range: (50, 1_000) },
+        Case { refusal: Refusal::Limited, left_ms: 0, range: (50, 50) },
+    ];
+    for Case { refusal, left_ms, range } in cases {
+        let after_ms = |draw| room::retry_after_us(refusal, left_ms * MS, draw) / MS;
+        assert_eq!((after_ms(0.0), after_ms(1.0)), range, "{refusal} with {left_ms} ms left");
+    }
+    // A wait in vain takes two fifths of a request's time, after which its caller comes back.
+    assert!(room::may_queue_again(20 * MS, 1_480 * MS));
+    assert!(!room::may_queue_again(600 * MS, 900 * MS));
+}
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -8,7 +8,7 @@
 use http::header::HeaderValue;
 use http::request::Parts;
 use platform::headers;
-use policy::{Candidate, Refusal, Time, Urgency, choose};
+use policy::{Candidate, Refusal, Time, Urgency, choose, room};
 use rand::Rng;
 use wire::Field;
 use wire::link::Attempt;
@@ -16,7 +16,7 @@
 
 use crate::entry::attempt::{Destination, execute, wait_for_silence};
 use crate::entry::callers::{deadline, host};
-use crate::entry::responses::{CallerResponse, error_response, forward};
+use crate::entry::responses::{CallerResponse, error_response, forward, set_retry_after};
 use crate::entry::state::Entry;
 use crate::guard::{Answer, Outcome};
 use crate::peers::Peer;
@@ -204,7 +204,10 @@
                 || self.destinations().len() < 2
                 || self.should_queue_at(&destination);
             queue_tries += usize::from(may_queue);
-            if queue_tries > QUEUE_TRIES || !self.take_retry_if_reached() {
+            if queue_tries > QUEUE_TRIES
+                || queue_tries > 1 && !self.may_queue_again()
+                || !self.take_retry_if_reached()
+            {
                 return None;
             }
             match self.run_attempt(destination, !may_queue).await {
@@ -216,6 +219,12 @@
         None
     }
 
+    /// Returns whether a request that was queued once is queued again.
+    fn may_queue_again(&self) -> bool {
+        let now = self.entry.clock.now();
+        room::may_queue_again(now.since(self.arrived), self.deadline.since(now))
+    }
+
     /// Returns how long a target takes for the request at most in all but a few cases, in
     /// microseconds.
     fn slow_work_us(&self) -> u64 {
@@ -515,7 +524,11 @@
             Some(answer) => forward(answer),
             None => {
                 let (code, status) = self.error_code(now);
-                error_response(code, status, id)
+                let mut response = error_response(code, status, id);
+                if status == StatusCode::SERVICE_UNAVAILABLE {
+                    set_retry_after(&mut response, self.refusal, self.deadline.since(now));
+                }
+                response
             }
         };
         self.log(now, response.status(), forwarded);
--- a/crates/sidecar/src/entry/responses.rs
+++ b/crates/sidecar/src/entry/responses.rs
@@ -5,16 +5,12 @@
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use platform::headers;
+use policy::{Refusal, room};
 use rand::Rng;
 use world::Code;
 
 use crate::guard::Answer;
 
-/// The range of the random `retry-after` of a refused request, in seconds. Other VMs on the same
-/// host keep a VM slow for about 0.1 s, and callers that retry at different times do not all arrive
-/// at once again.
-const RETRY_AFTER_S: (f64, f64) = (0.05, 0.25);
-
 /// The HTTP response to a caller.
 pub type CallerResponse = Response<Full<Bytes>>;
 
@@ -39,12 +35,18 @@
         own.insert(headers::REQUEST_ID, id.clone());
     }
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        let (least, most) = RETRY_AFTER_S;
-        let seconds = rand::rng().random_range(least..most);
-        // Digits and a point are valid in a header.
-        if let Ok(value) = HeaderValue::try_from(format!("{seconds:.3}")) {
-            own.insert(header::RETRY_AFTER, value);
-        }
+        set_retry_after(&mut response, Refusal::Busy, u64::MAX);
     }
     response
 }
+
+/// Sets the time after which the caller of a request that was refused comes back, at random within a
+/// range so that those who were refused together do not return together. `left_us` is the time until
+/// the request's deadline, in microseconds.
+pub fn set_retry_after(response: &mut CallerResponse, refusal: Refusal, left_us: u64) {
+    let after_us = room::retry_after_us(refusal, left_us, rand::rng().random());
+    // Digits and a point are valid in a header.
+    if let Ok(value) = HeaderValue::try_from(format!("{:.3}", after_us as f64 / 1e6)) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+}
