A guard that restarts counts what its predecessor left at the target

Cause: some targets never answer a request that they cannot queue, nor anything later on that connection. A guard that restarts sent as many as there are slots beside what its predecessor had left there. Change: on any start but the first, the guard reads the target's load from one health answer and counts what runs there against the slots until the target reports fewer or the longest timeout has passed.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::queue::Waiting;
+use crate::leftover::Leftover;
 use crate::room::{self, Reserve, Run, Turns, Urgency};
 use crate::slowness::Slowness;
 use crate::{Knee, NamedRate, Occupancy, Time, Warmth};
@@ -129,6 +130,8 @@
     /// Requests that run; may be more than `slots` after `slots` was lowered.
     running: Vec<Running>,
     knee: Knee,
+    /// What an earlier process left at the target.
+    leftover: Leftover,
     /// In order of arrival.
     waiting: Vec<Waiting>,
     /// The share of lower priorities in the starts.
@@ -159,6 +162,7 @@
             slots: 0,
             running: Vec::new(),
             knee: Knee::default(),
+            leftover: Leftover::default(),
             waiting: Vec::new(),
             turns: Turns::default(),
             reserve: Reserve::default(),
@@ -180,6 +184,17 @@
         self.slots = slots;
     }
 
+    /// Records the requests that an earlier process left at the target, found before this one sent
+    /// any. They take slots until the target reports fewer, or until the time `until`.
+    pub fn found_pending(&mut self, count: u32, until: Time) {
+        self.leftover.found(count, until);
+    }
+
+    /// Records how many requests the target reports to run or queue.
+    pub fn reported_pending(&mut self, count: u32) {
+        self.leftover.reported(count, self.running());
+    }
+
     /// Returns what is known of the target's warmth, to record what it says.
     pub fn warmth_mut(&mut self) -> &mut Warmth {
         &mut self.warmth
@@ -475,7 +490,10 @@
         let is_stalled = overdue.clone().count() >= STALLED_REQUESTS
             && overdue.all(|running| self.answered_at < running.begun);
         self.stalled |= is_stalled;
-        if self.stalled { 1 } else { self.knee.usable_slots(self.slots) }
+        if self.stalled {
+            return 1;
+        }
+        self.knee.usable_slots(self.slots).saturating_sub(self.leftover.count(now)).max(1)
     }
 
     /// Returns whether the VM's slowness may be probed. A cold target and one that names a limit take
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod entry;
 mod guard;
 mod knee;
+mod leftover;
 mod limit;
 mod load;
 mod median;
--- a/crates/policy/tests/room.rs
+++ b/crates/policy/tests/room.rs
@@ -397,3 +397,44 @@
     assert!(room::may_queue_again(20 * MS, 1_480 * MS));
     assert!(!room::may_queue_again(600 * MS, 900 * MS));
 }
+
+// Guards against a guard that restarts beside a full target, which never answers what it cannot queue.
+#[test]
+fn what_an_earlier_process_left_takes_slots_until_it_has_ended() {
+    struct Case {
+        name: &'static str,
+        found: u32,
+        /// What the target reports later to run or queue, at 100 ms.
+        reported: Option<u32>,
+        now_ms: u64,
+        /// How many of 18 slots may be used.
+        starts: usize,
+    }
+    let cases = [
+        Case { name: "nothing left", found: 0, reported: None, now_ms: 0, starts: 18 },
+        Case { name: "some slots", found: 7, reported: None, now_ms: 0, starts: 11 },
+        Case { name: "more than the slots", found: 30, reported: None, now_ms: 0, starts: 1 },
+        Case { name: "some have ended", found: 30, reported: Some(5), now_ms: 200, starts: 13 },
+        Case { name: "reports of more", found: 2, reported: Some(9), now_ms: 200, starts: 16 },
+        Case { name: "their time is over", found: 30, reported: None, now_ms: 1_500, starts: 18 },
+    ];
+    for Case { name, found, reported, now_ms, starts } in cases {
+        let mut admission = Admission::default();
+        admission.set_slots(18);
+        admission.found_pending(found, at(1_500));
+        if let Some(count) = reported {
+            admission.reported_pending(count);
+        }
+        let request = |id| SlotRequest {
+            id,
+            priority: 0,
+            aim: at(now_ms + 250),
+            deadline: at(now_ms + 1_500),
+            work_us: 100 * MS,
+            elsewhere: true,
+        };
+        let decided = (0..40).map(|id| admission.admit(at(now_ms), request(id)));
+        let started = decided.filter(|decision| *decision == Decision::Run).count();
+        assert_eq!(started, starts, "{name}");
+    }
+}
--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -272,7 +272,9 @@
     ) -> Result<Answer, Failure> {
         let now = self.clock.now();
         if let Some(load) = headers::target_load(response.headers()) {
-            self.state.borrow_mut().admission.set_slowness(now, load.slowness);
+            let admission = &mut self.state.borrow_mut().admission;
+            admission.set_slowness(now, load.slowness);
+            admission.reported_pending(load.running.saturating_add(load.waiting));
         }
         let (head, body) = response.into_parts();
         let echoed = head.headers.get(headers::REQUEST_ID).map(HeaderValue::as_bytes);
--- a/crates/sidecar/src/guard/mod.rs
+++ b/crates/sidecar/src/guard/mod.rs
@@ -7,6 +7,7 @@
 mod incarnations;
 mod pool;
 mod probe;
+mod running;
 mod starts;
 mod state;
 mod statements;
--- a/crates/sidecar/src/guard/probe.rs
+++ b/crates/sidecar/src/guard/probe.rs
@@ -99,7 +99,10 @@
     {
         let admission = &mut guard.state.borrow_mut().admission;
         match load {
-            Some(load) => admission.set_slowness(now, load.slowness),
+            Some(load) => {
+                admission.set_slowness(now, load.slowness);
+                admission.reported_pending(load.running.saturating_add(load.waiting));
+            }
             None => admission.set_slowness_unknown(now),
         }
     }
@@ -156,8 +159,9 @@
 }
 
 /// Probes the target's address after the node's start until an instance answers or a heartbeat
-/// arrives: the next heartbeat may be more than a second away.
-pub async fn find_target(guard: Rc<Guard>, address: SocketAddr, service: Name) {
+/// arrives: the next heartbeat may be more than a second away. Unless this is the node's first start,
+/// learns what an earlier process left there.
+pub async fn find_target(guard: Rc<Guard>, address: SocketAddr, service: Name, first_start: bool) {
     let mut rules = guard.rules.subscribe();
     // The path of the health check is in the ruleset. An error means that the node shuts down.
     let _ = rules.wait_for(|revision| *revision > 0).await;
@@ -168,6 +172,7 @@
             && let Some(id) = headers::answering_instance(&head.headers)
             && let Some(load) = headers::target_load(&head.headers)
         {
+            guard.found_load(load);
             guard.adopt(&id, service, address, load.slots);
             let target = guard.state.borrow().target.clone();
             if let Some(target) = target.filter(|target| target.life.id == id) {
@@ -177,6 +182,15 @@
         }
         tokio::time::sleep(RETRY_PAUSE).await;
     }
+    if first_start {
+        return;
+    }
+    // A heartbeat named the target first, but not what it runs.
+    if let Ok(Some(head)) = check_new(&guard, address, &service).await
+        && let Some(load) = headers::target_load(&head.headers)
+    {
+        guard.found_load(load);
+    }
 }
 
 /// Sends one health check and checks which instance answers.
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -7,7 +7,6 @@
 use platform::settings::WarmupLimits;
 use policy::{
     Admission, CrashNotice, Crashes, Decision, Refusal, Report, SlotRequest, Time, TokenBucket,
-    Urgency,
 };
 use runtime::Clock;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
@@ -241,18 +240,6 @@
         state.admission.running() as usize + state.admission.waiting()
     }
 
-    /// Returns how urgent a call is that the target makes, by the request that expires with it at
-    /// `deadline`. `None` if no running request does.
-    pub fn parent(&self, deadline: Time) -> Option<Urgency> {
-        self.state.borrow().admission.parent(self.clock.now(), deadline)
-    }
-
-    /// Returns the likely priority of a call that the target makes and that expires at `deadline`.
-    /// `None` if what runs expires before it.
-    pub fn likely_priority(&self, deadline: Time) -> Option<u32> {
-        self.state.borrow().admission.likely_priority(deadline)
-    }
-
     /// Reports the target as closed to other nodes. Requests that still arrive are accepted until
     /// [`Guard::drain`].
     pub fn announce_drain(&self) {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -181,8 +181,8 @@
     tokio::task::spawn_local(configuration::watch_table(store, ruleset, should_watch));
     tokio::task::spawn_local(peers.clone().join(store));
     tokio::task::spawn_local(guard.clone().run_timers());
-    let search =
-        guard::find_target(guard.clone(), settings.target_address, settings.service.clone());
+    let (target, service) = (settings.target_address, settings.service.clone());
+    let search = guard::find_target(guard.clone(), target, service, settings.first_start);
     tokio::task::spawn_local(search);
     tokio::task::spawn_local(local_http::serve_control(control, guard.clone()));
     tokio::task::spawn_local(local_http::serve_readiness(readiness, entry.clone()));
