--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod era;
 mod guard;
 mod knee;
+mod leftover;
 mod limit;
 mod load;
 mod median;
--- a/crates/policy/tests/room.rs
+++ b/crates/policy/tests/room.rs
@@ -348,3 +348,93 @@
         assert_eq!(room::parent(at(40), at(deadline_ms), runs), expected, "{name}");
     }
 }
+
+#[test]
+fn a_call_without_a_known_parent_is_as_urgent_as_the_middle_of_what_may_be_it() {
+    struct Case {
+        name: &'static str,
+        /// Priority and deadline in ms of each running request.
+        runs: &'static [(u32, u64)],
+        priority: Option<u32>,
+    }
+    let cases = [
+        Case { name: "nothing runs", runs: &[], priority: None },
+        Case { name: "all expire before it", runs: &[(0, 300), (1, 400)], priority: None },
+        Case { name: "one may be it", runs: &[(0, 300), (7, 900)], priority: Some(7) },
+        Case { name: "the middle", runs: &[(9, 900), (2, 900), (4, 800)], priority: Some(4) },
+    ];
+    for Case { name, runs, priority } in cases {
+        let runs = runs.iter().map(|(priority, deadline)| Run {
+            priority: *priority,
+            aim: at(*deadline),
+            deadline: at(*deadline),
+            ends: at(0),
+        });
+        assert_eq!(room::likely_priority(at(500), runs), priority, "{name}");
+    }
+}
+
+#[test]
+fn refused_callers_come_back_spread_and_with_most_of_their_time() {
+    struct Case {
+        refusal: Refusal,
+        left_ms: u64,
+        /// The earliest and the latest return, in ms.
+        range: (u64, u64),
+    }
+    let cases = [
+        Case { refusal: Refusal::Full, left_ms: 1_500, range: (50, 250) },
+        Case { refusal: Refusal::Full, left_ms: 300, range: (50, 100) },
+        Case { refusal: Refusal::Cold, left_ms: 1_500, range: (50, 500) },
+        Case { refusal: Refusal::Cold, left_ms: 9_000, range: (50, 1_000) },
+        Case { refusal: Refusal::Limited, left_ms: 0, range: (50, 50) },
+    ];
+    for Case { refusal, left_ms, range } in cases {
+        let after_ms = |draw| room::retry_after_us(refusal, left_ms * MS, draw) / MS;
+        assert_eq!((after_ms(0.0), after_ms(1.0)), range, "{refusal} with {left_ms} ms left");
+    }
+    // A wait in vain takes two fifths of a request's time, after which its caller comes back.
+    assert!(room::may_queue_again(20 * MS, 1_480 * MS));
+    assert!(!room::may_queue_again(600 * MS, 900 * MS));
+}
+
+// Guards against a guard that restarts beside a full target, which never answers what it cannot queue.
+#[test]
+fn what_an_earlier_process_left_takes_slots_until_it_has_ended() {
+    struct Case {
+        name: &'static str,
+        found: u32,
+        /// What the target reports later to run or queue, at 100 ms.
+        reported: Option<u32>,
+        now_ms: u64,
+        /// How many of 18 slots may be used.
+        starts: usize,
+    }
+    let cases = [
+        Case { name: "nothing left", found: 0, reported: None, now_ms: 0, starts: 18 },
+        Case { name: "some slots", found: 7, reported: None, now_ms: 0, starts: 11 },
+        Case { name: "more than the slots", found: 30, reported: None, now_ms: 0, starts: 1 },
+        Case { name: "some have ended", found: 30, reported: Some(5), now_ms: 200, starts: 13 },
+        Case { name: "reports of more", found: 2, reported: Some(9), now_ms: 200, starts: 16 },
+        Case { name: "their time is over", found: 30, reported: None, now_ms: 1_500, starts: 18 },
+    ];
+    for Case { name, found, reported, now_ms, starts } in cases {
+        let mut admission = Admission::default();
+        admission.set_slots(18);
+        admission.found_pending(found, at(1_500));
+        if let Some(count) = reported {
+            admission.reported_pending(count);
+        }
+        let request = |id| SlotRequest {
+            id,
+            priority: 0,
+            aim: at(now_ms + 250),
+            deadline: at(now_ms + 1_500),
+            work_us: 100 * MS,
+            elsewhere: true,
+        };
+        let decided = (0..40).map(|id| admission.admit(at(now_ms), request(id)));
+        let started = decided.filter(|decision| *decision == Decision::Run).count();
+        assert_eq!(started, starts, "{name}");
+    }
+}
--- a/crates/sidecar/src/guard/mod.rs
+++ b/crates/sidecar/src/guard/mod.rs
@@ -8,6 +8,7 @@
 mod pool;
 mod probe;
 mod rollout;
+mod running;
 mod starts;
 mod state;
 mod statements;
