One budget for the bytes of all bodies, and one for callers' connections

Cause: each body of a caller was collected whole and then copied, without any bound over all of them; attempts of other nodes were held twice while they arrived; answers were bounded only until they were read.

Change: policy::ByteBudget covers requests, attempts and answers, sized from the settings' memory. Memory is taken before a body is read, and its bytes own it (Bytes::from_owner), so that it returns with the last copy. Without room a request gets 503 (2024) before its body is read, an attempt is refused as full, an answer waits until its deadline. An announced length over the limit is 413 at once. Chunks are copied into one buffer, on links too. Connections of callers are bounded by memory and descriptors (limits.maxFds); the one that has waited longest makes room. Callers that hold memory without moving make room where there is too little. The read-ahead of a connection takes from the budget.

--- a/crates/policy/src/bytes.rs
+++ b/crates/policy/src/bytes.rs
@@ -1,33 +1,71 @@
-//! A bound on the bytes that a node holds for all unfinished answers together.
+//! A bound on the bytes that a node holds for the bodies of requests and answers together.
+
+/// Share of the budget that large requests leave free, as a divisor.
+const SMALL_SHARE: usize = 8;
+/// Share of the budget that answers may take up, as a divisor.
+const ANSWER_SHARE: usize = 2;
+/// A request body of more bytes is large.
+const SMALL_BYTES: usize = 64 * 1024;
+
+/// What a body belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyKind {
+    /// A request, of a caller or of another node.
+    Request,
+    /// An answer, of the target or of another node.
+    Answer,
+}
 
 /// The bytes that may be held, and those that are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ByteBudget {
     most: usize,
-    /// Never above `most`.
-    held: usize,
+    /// For requests; with `answers` never above `most`.
+    requests: usize,
+    /// For answers; never above half of `most`.
+    answers: usize,
 }
 
 impl ByteBudget {
     /// Creates a budget of `most` bytes, none of which are held.
     pub fn new(most: usize) -> ByteBudget {
-        ByteBudget { most, held: 0 }
+        ByteBudget { most, requests: 0, answers: 0 }
     }
 
-    /// Takes bytes from the budget. Returns false and takes none if fewer are left.
-    pub fn take(&mut self, bytes: usize) -> bool {
-        let fits = bytes <= self.most - self.held;
-        self.held += if fits { bytes } else { 0 };
+    /// Takes `more` bytes for a body that holds `held` already. Returns false and takes none if fewer
+    /// are left for bodies of its kind and size: large requests leave an eighth to small ones and to
+    /// answers, and answers leave half to requests.
+    pub fn take(&mut self, kind: BodyKind, held: usize, more: usize) -> bool {
+        let left = self.most - self.held();
+        let left = match kind {
+            BodyKind::Request if held.saturating_add(more) <= SMALL_BYTES => left,
+            BodyKind::Request => left.min(self.request_limit().saturating_sub(self.requests)),
+            BodyKind::Answer => left.min(self.most / ANSWER_SHARE - self.answers),
+        };
+        let fits = more <= left;
+        *self.count_mut(kind) += if fits { more } else { 0 };
         fits
     }
 
-    /// Returns bytes that were taken.
-    pub fn give_back(&mut self, bytes: usize) {
-        self.held = self.held.saturating_sub(bytes);
+    /// Returns bytes that were taken for bodies of a kind.
+    pub fn give_back(&mut self, kind: BodyKind, bytes: usize) {
+        let count = self.count_mut(kind);
+        *count = count.saturating_sub(bytes);
     }
 
     /// Returns the bytes that are held.
     pub fn held(&self) -> usize {
-        self.held
+        self.requests + self.answers
+    }
+
+    fn request_limit(&self) -> usize {
+        self.most - self.most / SMALL_SHARE
+    }
+
+    fn count_mut(&mut self, kind: BodyKind) -> &mut usize {
+        match kind {
+            BodyKind::Request => &mut self.requests,
+            BodyKind::Answer => &mut self.answers,
+        }
     }
 }
--- a/crates/sidecar/src/entry/callers.rs
+++ b/crates/sidecar/src/entry/callers.rs
@@ -10,19 +10,19 @@
 use http::header::{self, HeaderValue};
 use http::request::Parts;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use platform::headers;
-use policy::Time;
+use policy::{BodyKind, ConnectionPhase, Time};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use world::{Code, Repeat};
 
+use crate::entry::connections::Connection;
 use crate::entry::pipeline::Pipeline;
 use crate::entry::read_ahead::ReadAheadStream;
 use crate::entry::responses::{CallerResponse, error_response};
@@ -121,28 +121,35 @@
         tracing::debug!(%error, "callers: a connection failed before its first request");
         return;
     }
+    // Callers whose request was not read send it again.
+    let Some(open) = entry.connections.open() else { return };
+    let state = open.get();
     let accepted = Instant::now();
     let pipeline = Rc::new(RefCell::new(Pipeline::default()));
     let stream = {
+        let memory = entry.guard.bodies.open(BodyKind::Request);
         let (entry, pipeline) = (entry.clone(), pipeline.clone());
         let start = move |head: Parts| start_early(&entry, head);
-        ReadAheadStream::new(stream, move |bytes| pipeline.borrow_mut().scan(bytes, &start))
+        let observer = move |bytes: &[u8]| pipeline.borrow_mut().scan(bytes, &start);
+        ReadAheadStream::new(stream, state.clone(), memory, observer)
     };
     let limits = entry.ruleset.current().map(|ruleset| ruleset.routing.limits);
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes as usize);
     let idle = limits.map_or(DEFAULT_IDLE, |limits| Duration::from_micros(limits.idle_us));
     let service = service_fn(|request| {
-        let (entry, pipeline) = (entry.clone(), pipeline.clone());
+        let (entry, pipeline, state) = (entry.clone(), pipeline.clone(), state.clone());
         async move {
             let started = pipeline.borrow_mut().begin_next();
+            state.set_phase(ConnectionPhase::Serving);
             let early = match started {
                 Some(started) => started.response().await,
                 None => None,
             };
             let response = match early {
                 Some(response) => response,
-                None => serve_request(&entry, request).await,
+                None => serve_request(&entry, request, &state).await,
             };
+            state.set_phase(ConnectionPhase::Waiting);
             let mut pipeline = pipeline.borrow_mut();
             pipeline.record_answer();
             // Requests that were started early are running and must be answered on this connection.
@@ -157,6 +164,12 @@
         .serve_connection(TokioIo::new(stream.clone()), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
+        biased;
+        // Before a request that may just have arrived is begun.
+        () = state.closed() => {
+            tracing::debug!("callers: closed a connection to make room");
+            return;
+        }
         ended = connection.as_mut() => ended,
         // The caller has closed the connection. Dropping it cancels the requests on it.
         () = stream.read_until_closed() => return,
@@ -168,7 +181,10 @@
     match ended {
         // Closing the socket while bytes of the caller are unread would reset the connection, and
         // the caller could lose the last response.
-        Ok(()) => drop(tokio::time::timeout(LINGER, stream.discard_until_closed()).await),
+        Ok(()) => tokio::select! {
+            _ = tokio::time::timeout(LINGER, stream.discard_until_closed()) => {}
+            () = state.closed() => {}
+        },
         Err(error) => tracing::debug!(%error, "callers: a connection failed"),
     }
 }
@@ -224,7 +240,11 @@
 }
 
 /// Reads a request's body and serves it.
-async fn serve_request(entry: &Rc<Entry>, request: Request<Incoming>) -> CallerResponse {
+async fn serve_request(
+    entry: &Rc<Entry>,
+    request: Request<Incoming>,
+    connection: &Rc<Connection>,
+) -> CallerResponse {
     let _pending = entry.track_request();
     let arrived = entry.clock.now();
     let (head, body) = request.into_parts();
@@ -233,27 +253,19 @@
     let max_bytes = limits.map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
     let wait_us = caller_timeout_us(&head.headers).unwrap_or(DEFAULT_BODY_WAIT_US);
     let until = entry.clock.instant(arrived.after(wait_us));
-    let collected = Limited::new(body, max_bytes as usize).collect();
-    let collected = tokio::select! {
-        collected = tokio::time::timeout_at(until, collected) => collected,
+    let read = entry.read_body(body, max_bytes as usize, connection);
+    let read = tokio::select! {
+        read = tokio::time::timeout_at(until, read) => read,
         () = entry.start_passed(entry.slow_work_us(&head)) => {
             return entry.refuse_stopping(&head, arrived);
         }
     };
-    let body = match collected {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return error_response(Code::BadRequest, StatusCode::PAYLOAD_TOO_LARGE, id.as_ref());
-        }
-        Ok(Err(error)) => {
-            tracing::debug!(%error, "callers: cannot read the body of a request");
-            return error_response(Code::BadRequest, StatusCode::BAD_REQUEST, id.as_ref());
-        }
-        Err(_) => {
-            return error_response(Code::BadRequest, StatusCode::REQUEST_TIMEOUT, id.as_ref());
-        }
-    };
-    entry.serve(&head, body, arrived).await
+    connection.set_phase(ConnectionPhase::Serving);
+    match read {
+        Ok(Ok(body)) => entry.serve(&head, body, arrived).await,
+        Ok(Err(error)) => with_close(entry.refuse_body(&error, id.as_ref())),
+        Err(_) => error_response(Code::BadRequest, StatusCode::REQUEST_TIMEOUT, id.as_ref()),
+    }
 }
 
 /// Returns how long the caller will wait, from its `x-timeout-ms` header. None if it does not say
--- a/crates/sidecar/src/entry/mod.rs
+++ b/crates/sidecar/src/entry/mod.rs
@@ -1,8 +1,10 @@
 //! The entry: takes the requests of callers on this VM and sends each to a target.
 
 mod attempt;
+mod bodies;
 mod call;
 mod callers;
+mod connections;
 mod estimates;
 mod pipeline;
 mod read_ahead;
@@ -10,4 +12,5 @@
 mod state;
 
 pub use callers::{CallerServer, bind};
-pub use state::Entry;
+pub use connections::Connections;
+pub use state::{Entry, EntryLimits};
--- a/crates/sidecar/src/entry/read_ahead.rs
+++ b/crates/sidecar/src/entry/read_ahead.rs
@@ -6,17 +6,24 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::entry::connections::Connection;
+use crate::guard::HeldMemory;
+
 /// Nothing more is read ahead once this many bytes are buffered.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
-/// The longest single read.
+/// The longest single read. Also the steps in which memory is taken.
 const READ_BYTES: usize = 16 * 1024;
 
+/// How often a connection without memory to read ahead asks for it again.
+const ROOM_CHECK: Duration = Duration::from_millis(50);
+
 /// Receives the bytes of a connection as they arrive.
 type Observer = dyn Fn(&[u8]);
 
@@ -27,6 +34,10 @@
     /// Notified when the HTTP server takes bytes from the buffer.
     taken: Notify,
     observer: Box<Observer>,
+    /// Told of the bytes that the caller takes.
+    connection: Rc<Connection>,
+    /// The memory of `buffer`.
+    held: RefCell<HeldMemory>,
 }
 
 /// A connection that can be read ahead in the background. Clones share it.
@@ -37,15 +48,26 @@
 
 impl ReadAheadStream {
     /// Wraps a connection. `observer` is called with all its bytes once, in order.
-    pub fn new(stream: TcpStream, observer: impl Fn(&[u8]) + 'static) -> ReadAheadStream {
-        let buffer = RefCell::default();
-        let shared = Shared { stream, buffer, taken: Notify::new(), observer: Box::new(observer) };
+    pub fn new(
+        stream: TcpStream,
+        connection: Rc<Connection>,
+        memory: HeldMemory,
+        observer: impl Fn(&[u8]) + 'static,
+    ) -> ReadAheadStream {
+        let shared = Shared {
+            stream,
+            buffer: RefCell::default(),
+            taken: Notify::new(),
+            observer: Box::new(observer),
+            connection,
+            held: RefCell::new(memory),
+        };
         ReadAheadStream { shared: Rc::new(shared) }
     }
 
     /// Reads into the buffer until the caller closes the connection or it fails.
     pub async fn read_until_closed(&self) {
-        let Shared { stream, buffer, taken, observer } = &*self.shared;
+        let Shared { stream, buffer, taken, observer, .. } = &*self.shared;
         loop {
             if buffer.borrow().len() >= MAX_BUFFERED_BYTES {
                 taken.notified().await;
@@ -54,6 +76,11 @@
             if stream.readable().await.is_err() {
                 return;
             }
+            if !self.has_room() {
+                // The rest stays in the kernel, also the end of the connection.
+                tokio::time::sleep(ROOM_CHECK).await;
+                continue;
+            }
             let mut bytes = [0; READ_BYTES];
             match stream.try_read(&mut bytes) {
                 Ok(0) => return,
@@ -61,12 +88,29 @@
                     buffer.borrow_mut().extend_from_slice(&bytes[..count]);
                     observer(&bytes[..count]);
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.free_if_empty(),
                 Err(_) => return,
             }
         }
     }
 
+    /// Frees the buffer and gives back its memory if the HTTP server has taken all of it.
+    fn free_if_empty(&self) {
+        let mut buffer = self.shared.buffer.borrow_mut();
+        if buffer.is_empty() {
+            *buffer = BytesMut::new();
+            self.shared.held.borrow_mut().shrink(0);
+        }
+    }
+
+    /// Takes the memory of one more read. Returns false if there is none left.
+    fn has_room(&self) -> bool {
+        let needed = self.shared.buffer.borrow().len() + READ_BYTES;
+        let mut held = self.shared.held.borrow_mut();
+        let missing = needed.saturating_sub(held.bytes());
+        missing == 0 || held.add(missing)
+    }
+
     /// Reads and discards until the caller closes the connection or it fails.
     pub async fn discard_until_closed(&self) {
         let mut bytes = [0; READ_BYTES];
@@ -87,12 +131,14 @@
         context: &mut Context<'_>,
         out: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let Shared { stream, buffer, taken, observer } = &*self.shared;
+        let Shared { stream, buffer, taken, observer, .. } = &*self.shared;
         let mut buffer = buffer.borrow_mut();
         if !buffer.is_empty() {
             let count = buffer.len().min(out.remaining());
             out.put_slice(&buffer[..count]);
             buffer.advance(count);
+            drop(buffer);
+            self.free_if_empty();
             taken.notify_one();
             return Poll::Ready(Ok(()));
         }
@@ -126,12 +172,19 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let stream = &self.shared.stream;
+        let Shared { stream, connection, .. } = &*self.shared;
         loop {
-            ready!(stream.poll_write_ready(context))?;
+            if stream.poll_write_ready(context)?.is_pending() {
+                connection.set_blocked();
+                return Poll::Pending;
+            }
             match stream.try_write_vectored(slices) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                Ok(count) => {
+                    connection.sent(count);
+                    return Poll::Ready(Ok(count));
+                }
+                Err(error) => return Poll::Ready(Err(error)),
             }
         }
     }
--- a/crates/sidecar/src/entry/state.rs
+++ b/crates/sidecar/src/entry/state.rs
@@ -12,6 +12,7 @@
 use world::Name;
 
 use crate::configuration::ActiveRuleset;
+use crate::entry::connections::Connections;
 use crate::entry::estimates::{RetryBudgets, RouteEstimates};
 use crate::guard::Guard;
 use crate::metrics::Metrics;
@@ -32,6 +33,7 @@
     pub(super) metrics: Rc<Metrics>,
     /// The service of this VM, sent to targets as the caller's service.
     pub(super) caller: Name,
+    pub(super) connections: Rc<Connections>,
     pub(super) rng: RefCell<SmallRng>,
     pub(super) estimates: RefCell<RouteEstimates>,
     pub(super) budgets: RefCell<RetryBudgets>,
@@ -46,6 +48,15 @@
     ended: Notify,
 }
 
+/// What bounds the requests that an entry takes and sends.
+#[derive(Debug)]
+pub struct EntryLimits {
+    /// The connections of callers.
+    pub connections: Rc<Connections>,
+    /// The bound on retries.
+    pub retry_bound: RetryBound,
+}
+
 impl Entry {
     /// Creates the entry. `caller` is the service of this VM.
     pub fn new(
@@ -55,7 +66,7 @@
         peers: Rc<Peers>,
         metrics: Rc<Metrics>,
         caller: Name,
-        retry_bound: RetryBound,
+        limits: EntryLimits,
     ) -> Rc<Entry> {
         Rc::new(Entry {
             clock,
@@ -64,10 +75,11 @@
             peers,
             metrics,
             caller,
+            connections: limits.connections,
             rng: RefCell::new(SmallRng::from_os_rng()),
             estimates: RefCell::default(),
             budgets: RefCell::default(),
-            retry_bound: Cell::new(retry_bound),
+            retry_bound: Cell::new(limits.retry_bound),
             routine_lines: RefCell::new(TokenBucket::new(ROUTINE_LINES_PER_S, ROUTINE_LINES_PER_S)),
             notable_lines: RefCell::new(TokenBucket::new(NOTABLE_LINES_PER_S, NOTABLE_LINES_PER_S)),
             shutdown: watch::Sender::new(None),
--- a/crates/sidecar/src/guard/mod.rs
+++ b/crates/sidecar/src/guard/mod.rs
@@ -12,6 +12,6 @@
 mod statements;
 
 pub use attempt::{Answer, Outcome};
-pub use bodies::BodyMemory;
+pub use bodies::{BodyBuffer, BodyFault, BodyMemory, HeldMemory};
 pub use probe::find_target;
 pub use state::{Guard, VmNames};
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -92,7 +92,7 @@
     pub(super) clock: Clock,
     pub(super) rules: Rc<ActiveRuleset>,
     pub(super) pool: Pool,
-    /// The memory for bodies of answers, of this target and of others.
+    /// The memory for the bodies of all requests and answers on this node.
     pub bodies: BodyMemory,
     pub(super) metrics: Rc<Metrics>,
     data_centre: Name,
--- a/crates/sidecar/src/peers/exchange.rs
+++ b/crates/sidecar/src/peers/exchange.rs
@@ -9,7 +9,7 @@
 use snafu::Snafu;
 use wire::link::{Attempt, Frame, Reply};
 
-use crate::guard::{Answer, Outcome};
+use crate::guard::{Answer, BodyBuffer, Outcome};
 use crate::peers::directory::Peer;
 use crate::peers::links::Peers;
 
@@ -180,14 +180,11 @@
     /// Reads the body that follows an answer's frame.
     async fn read_body(&mut self, length: u64) -> Result<Bytes, String> {
         let length = usize::try_from(length).map_err(|error| error.to_string())?;
-        let Some(_held) = self.peers.guard.bodies.hold(length) else {
-            return Err("the answer is longer than the node can hold".to_owned());
-        };
-        let body = self.receive.read_to_end(length).await.map_err(|error| error.to_string())?;
-        match body.len() == length {
-            true => Ok(body.into()),
-            false => Err("the answer is cut".to_owned()),
-        }
+        let buffer = self.peers.guard.bodies.receive_answer(length).await;
+        let buffer =
+            buffer.map_err(|_| "the answer is longer than the node can hold".to_owned())?;
+        let body = read_body(&mut self.receive, buffer, length).await;
+        body.map_err(|error| format!("the answer is cut: {error}"))
     }
 
     /// Ends the attempt with an unknown outcome.
@@ -207,6 +204,25 @@
     }
 }
 
+/// Reads a body of `length` bytes, which ends its stream, into a buffer with room for it.
+pub(super) async fn read_body(
+    receive: &mut RecvStream,
+    mut buffer: BodyBuffer,
+    length: usize,
+) -> Result<Bytes, String> {
+    let mut left = length;
+    while let Some(chunk) =
+        receive.read_chunk(usize::MAX, true).await.map_err(|error| error.to_string())?
+    {
+        left = left.checked_sub(chunk.bytes.len()).ok_or("it is too long")?;
+        buffer.extend(&chunk.bytes).map_err(|_| "it is too long")?;
+    }
+    match left {
+        0 => Ok(buffer.freeze()),
+        left => Err(format!("{left} bytes are missing")),
+    }
+}
+
 fn broken(error: impl ToString) -> Error {
     BrokenSnafu { detail: error.to_string() }.build()
 }
--- a/crates/sidecar/src/peers/serve.rs
+++ b/crates/sidecar/src/peers/serve.rs
@@ -3,17 +3,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::Refusal;
 use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
 use wire::EarlierRuleset;
 use wire::link::{Attempt, Datagram, Frame, Reply};
 
 use crate::guard::Outcome;
 use crate::peers::directory::{Link, Peer};
-use crate::peers::exchange::CANCELLED;
+use crate::peers::exchange::{CANCELLED, read_body};
 use crate::peers::links::Peers;
 
 /// The longest body of a request.
-const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 /// The longest wait for the handshake and the hello of a new link.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -156,14 +157,27 @@
     tokio::pin!(stopped);
     // The entry may limit the start while the body arrives.
     let start = peers.guard.track_start(&mut attempt);
-    let length = attempt.length.min(MAX_BODY_BYTES);
-    let body = match receive.read_to_end(length as usize).await {
-        Ok(body) if body.len() as u64 == attempt.length => body,
-        // The peer cancelled the attempt or the link broke. Nothing has been sent to the target.
-        _ => return drop(send.reset(VarInt::from_u32(CANCELLED))),
-    };
     let id = attempt.id.clone();
-    let run = peers.guard.run(attempt, body.into(), start);
+    let length = usize::try_from(attempt.length).unwrap_or(usize::MAX);
+    let body = match peers.guard.bodies.receive(length, MAX_BODY_BYTES) {
+        Ok(buffer) => read_body(&mut receive, buffer, length).await,
+        Err(fault) => {
+            tracing::info!(request = id, ?fault, length, "guard: refused the body of an attempt");
+            // Fails only if the stream is closed already.
+            let _ = receive.stop(VarInt::from_u32(CANCELLED));
+            let refused = Outcome::NotRun { refusal: Refusal::Full, reached: false };
+            return finish_attempt(peers, refused, &mut send, &id).await;
+        }
+    };
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => {
+            // The peer cancelled the attempt or the link broke. Nothing has been sent to the target.
+            tracing::debug!(request = id, error, "guard: the body of an attempt did not arrive");
+            return drop(send.reset(VarInt::from_u32(CANCELLED)));
+        }
+    };
+    let run = peers.guard.run(attempt, body, start);
     tokio::pin!(run);
     let outcome = tokio::select! {
         outcome = &mut run => outcome,
@@ -172,7 +186,12 @@
             return;
         }
     };
-    if let Err(error) = send_outcome(peers, outcome, &mut send).await {
+    finish_attempt(peers, outcome, &mut send, &id).await;
+}
+
+/// Sends the outcome of an attempt and waits until the peer has it.
+async fn finish_attempt(peers: &Peers, outcome: Outcome, send: &mut SendStream, id: &str) {
+    if let Err(error) = send_outcome(peers, outcome, send).await {
         tracing::info!(request = id, error, "guard: cannot send an outcome to its entry");
         return;
     }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -18,7 +18,7 @@
 use world::Code;
 
 use crate::configuration::{self, ActiveRuleset};
-use crate::entry::{self, CallerServer, Entry};
+use crate::entry::{self, CallerServer, Connections, Entry, EntryLimits};
 use crate::guard::{self, BodyMemory, Guard, VmNames};
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
@@ -166,6 +166,10 @@
     };
     let peers =
         Peers::spawn(peer_settings, clock, ruleset.clone(), guard.clone(), metrics.clone())?;
+    let limits = EntryLimits {
+        connections: Connections::new(clock, settings.memory_bytes, settings.max_fds),
+        retry_bound: retry_bound(settings),
+    };
     let entry = Entry::new(
         clock,
         ruleset.clone(),
@@ -173,13 +177,14 @@
         peers.clone(),
         metrics.clone(),
         settings.service.clone(),
-        retry_bound(settings),
+        limits,
     );
     let store = StoreClient::new(settings.store_address);
     let watcher = peers.clone();
     let should_watch = move || watcher.should_watch();
     tokio::task::spawn_local(configuration::watch_table(store, ruleset, should_watch));
     tokio::task::spawn_local(peers.clone().join(store));
+    tokio::task::spawn_local(entry.clone().make_room());
     tokio::task::spawn_local(guard.clone().run_timers());
     let search =
         guard::find_target(guard.clone(), settings.target_address, settings.service.clone());
