Answers that are none: statuses outside 200 to 599 and unknown transfer codings

Cause: the guard passed on any status that the HTTP library accepts (600 to 999, and 101, whose caller got no answer at all), and read a body of an unknown transfer coding until the connection's end as if it had no coding.

Change: such a head is no answer, so the attempt is lost (502 for a request that may not run again). The entry checks the status of a peer's answer too, since guards of earlier versions pass on any.

Measured before the change, on one node and through another: 600, 700, 999 and 'transfer-encoding: gzip' reached the caller, 101 closed its connection without an answer. Shown not to happen, before the change too: a body until close that ends with a reset while the upload is still written (180 requests before, 120 after, at six points of the request: 502 or 504 each), statuses of one, two and four digits, none, 000, 001 and 099, two lengths, HTTP/0.9, HTTP/2.0, chunks of HTTP/1.0, an informational answer as the last one. Chunks override a length beside them (RFC 9112, 6.3); the caller gets the whole body with one length.

--- a/crates/sidecar/src/guard/attempt.rs
+++ b/crates/sidecar/src/guard/attempt.rs
@@ -275,6 +275,9 @@
             self.state.borrow_mut().admission.set_slowness(now, load.slowness);
         }
         let (head, body) = response.into_parts();
+        if let Some(fault) = head_fault(head.status, &head.headers) {
+            return Err(Failure::Broken(format!("no answer: {fault}")));
+        }
         let echoed = head.headers.get(headers::REQUEST_ID).map(HeaderValue::as_bytes);
         // A target that did not run the request need not echo its id. On a connection that was used
         // before, such an answer may be a copy of one to an earlier request.
@@ -329,6 +332,26 @@
     }
 }
 
+/// Returns whether a target can answer with a status. Informational ones precede an answer, and those
+/// above 599 do not exist.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
+/// Returns why a head begins no answer: its status is none, or nobody can tell where its body ends. A
+/// length beside chunks does not count; the HTTP library has removed it.
+fn head_fault(status: StatusCode, fields: &HeaderMap) -> Option<&'static str> {
+    let mut codings = fields.get_all(header::TRANSFER_ENCODING).iter();
+    let is_chunked = |coding: &HeaderValue| coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    match (codings.next(), codings.next()) {
+        _ if !is_final(status) => Some("it has no final status"),
+        (None, _) => None,
+        (Some(_), Some(_)) => Some("it has several transfer codings"),
+        (Some(coding), None) if !is_chunked(coding) => Some("its transfer coding is unknown"),
+        (Some(_), None) => None,
+    }
+}
+
 /// Returns whether another instance than the target answered.
 fn is_misdirected(outcome: &Outcome) -> bool {
     matches!(outcome, Outcome::NotRun { refusal: Refusal::Misdirected, .. })
--- a/crates/sidecar/src/guard/mod.rs
+++ b/crates/sidecar/src/guard/mod.rs
@@ -11,7 +11,7 @@
 mod state;
 mod statements;
 
-pub use attempt::{Answer, Outcome};
+pub use attempt::{Answer, Outcome, is_final};
 pub use bodies::{BodyBuffer, BodyFault, BodyMemory, HeldMemory};
 pub use probe::find_target;
 pub use state::{Guard, VmNames};
--- a/crates/sidecar/src/peers/exchange.rs
+++ b/crates/sidecar/src/peers/exchange.rs
@@ -9,7 +9,7 @@
 use snafu::Snafu;
 use wire::link::{Attempt, Frame, Reply};
 
-use crate::guard::{Answer, BodyBuffer, Outcome};
+use crate::guard::{Answer, BodyBuffer, Outcome, is_final};
 use crate::peers::directory::Peer;
 use crate::peers::links::Peers;
 
@@ -136,7 +136,9 @@
                         Ok(body) => body,
                         Err(detail) => return self.lost(detail),
                     };
-                    let Ok(status) = StatusCode::from_u16(status) else {
+                    // Guards of earlier versions pass on any status.
+                    let status = StatusCode::from_u16(status).ok().filter(|code| is_final(*code));
+                    let Some(status) = status else {
                         return self.lost("the answer has an invalid status".to_owned());
                     };
                     let mut headers = http::HeaderMap::new();
