--- a/crates/sidecar/src/entry/mod.rs
+++ b/crates/sidecar/src/entry/mod.rs
@@ -1,9 +1,11 @@
 //! The entry: takes the requests of callers on this VM and sends each to a target.
 
 mod attempt;
+mod bodies;
 mod call;
 mod callers;
 mod calls;
+mod connections;
 mod estimates;
 mod keys;
 mod pipeline;
--- a/crates/sidecar/src/entry/state.rs
+++ b/crates/sidecar/src/entry/state.rs
@@ -13,6 +13,7 @@
 
 use crate::configuration::ActiveRuleset;
 use crate::entry::calls::MatchShare;
+use crate::entry::connections::Connections;
 use crate::entry::estimates::{NameMap, RetryBudgets, RouteEstimates};
 use crate::entry::quota::Quotas;
 use crate::guard::Guard;
@@ -31,6 +32,10 @@
     pub retries: RetryBound,
     /// The bound on requests over their quota. `None` where quotas do not count.
     pub quota: Option<QuotaTolerance>,
+    /// The memory of the node's process, in bytes. A change needs a restart.
+    pub memory_bytes: u64,
+    /// The descriptors of the node's process. `None` if unknown. A change needs a restart.
+    pub max_fds: Option<usize>,
 }
 
 /// The entry half of a node.
@@ -44,6 +49,7 @@
     pub(super) quotas: Rc<Quotas>,
     /// The service of this VM, sent to targets as the caller's service.
     pub(super) caller: Name,
+    pub(super) connections: Rc<Connections>,
     pub(super) rng: RefCell<SmallRng>,
     pub(super) estimates: RefCell<RouteEstimates>,
     pub(super) budgets: RefCell<RetryBudgets>,
@@ -73,7 +79,7 @@
         caller: Name,
         limits: EntryLimits,
     ) -> Rc<Entry> {
-        let EntryLimits { retries, quota } = limits;
+        let EntryLimits { retries, quota, memory_bytes, max_fds } = limits;
         let quotas = Quotas::spawn(peers.clone(), ruleset.clone(), metrics.clone(), quota);
         Rc::new(Entry {
             clock,
@@ -83,6 +89,7 @@
             metrics,
             quotas,
             caller,
+            connections: Connections::new(clock, memory_bytes, max_fds),
             rng: RefCell::new(SmallRng::from_os_rng()),
             estimates: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/sidecar/src/guard/mod.rs
+++ b/crates/sidecar/src/guard/mod.rs
@@ -13,7 +13,7 @@
 mod state;
 mod statements;
 
-pub use attempt::{Answer, Outcome};
-pub use bodies::BodyMemory;
+pub use attempt::{Answer, Outcome, is_final};
+pub use bodies::{BodyBuffer, BodyFault, BodyMemory, HeldMemory};
 pub use probe::find_target;
 pub use state::{Guard, VmNames};
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -184,6 +184,7 @@
     let should_watch = move || watcher.should_watch();
     tokio::task::spawn_local(configuration::watch_table(store, ruleset, should_watch));
     tokio::task::spawn_local(peers.clone().join(store));
+    tokio::task::spawn_local(entry.clone().make_room());
     tokio::task::spawn_local(guard.clone().run_timers());
     let (target, service) = (settings.target_address, settings.service.clone());
     let search = guard::find_target(guard.clone(), target, service, settings.first_start);
@@ -220,6 +221,8 @@
             window_us: retries.window_us,
         },
         quota,
+        memory_bytes: settings.memory_bytes,
+        max_fds: settings.max_fds,
     }
 }
 
