--- a/crates/policy/src/rollout/coordinator.rs
+++ b/crates/policy/src/rollout/coordinator.rs
@@ -57,6 +57,8 @@
 const SWITCH_SHARE: f64 = 0.12;
 /// The time without a target of another version after which the ordered one gets all, in microseconds.
 const ALONE_US: u64 = 2_000_000;
+/// The time after which a node that few guards report to reads the store, in microseconds.
+const ASKED_US: u64 = 400_000;
 /// The time without a report after which a coordinator is deserted, in microseconds.
 const DESERTED_US: u64 = 5_000_000;
 /// The share of the service's nodes that must report for a version to get any request.
@@ -184,9 +186,10 @@
     }
 
     /// Returns whether the store is to be read: half of the service's nodes report, so that this is the
-    /// coordinator.
+    /// coordinator, or a guard that restarted after the verdict keeps asking.
     pub fn needs_read(&self, now: Time) -> bool {
-        self.rejected.is_none() && self.coverage(now) >= HALF
+        let is_asked = now.since(self.opened) >= ASKED_US;
+        self.rejected.is_none() && (is_asked || self.coverage(now) >= HALF)
     }
 
     /// Sets how many nodes of the service are up. Without the reports of half of them, nothing is
@@ -195,9 +198,12 @@
         self.nodes = nodes;
     }
 
-    /// Returns whether no guard reports to this coordinator any more, since they found another one.
+    /// Returns whether no guard reports to this coordinator any more, since they found another one. With
+    /// a verdict, a guard that restarts may still ask for it.
     pub fn is_deserted(&self, now: Time) -> bool {
-        now.since(self.opened) >= DESERTED_US
+        let has_verdict = self.has_verdict() || self.phase == Phase::Completing;
+        !has_verdict
+            && now.since(self.opened) >= DESERTED_US
             && self.reporters.iter().all(|reporter| now.since(reporter.at) >= DESERTED_US)
     }
 
@@ -219,10 +225,11 @@
             self.reporters[at].at = now;
             return ExposureGrant { order: self.order.revision, per_s: 0.0, valid_us: GRANT_US };
         }
-        let earlier = std::mem::replace(&mut self.reporters[at].last, report);
+        let mut earlier = std::mem::replace(&mut self.reporters[at].last, report);
         self.reporters[at].at = now;
         if earlier.version != self.reporters[at].last.version {
             self.reporters[at].lone = false;
+            earlier.routes.clear();
         }
         self.count(now, at, &earlier.routes);
         self.advance(now);
@@ -340,11 +347,6 @@
         (self.stored != Some(due)).then_some(due)
     }
 
-    /// Returns whether a verdict is to be written.
-    pub fn has_verdict_due(&self, now: Time) -> bool {
-        self.due_state(now).is_some_and(|state| state != RolloutState::Running)
-    }
-
     /// Handles the state that the store has for this order. A verdict there stands.
     pub fn set_stored(&mut self, now: Time, state: RolloutState) {
         self.stored = Some(state);
--- a/crates/policy/src/rollout/exposure.rs
+++ b/crates/policy/src/rollout/exposure.rs
@@ -62,12 +62,19 @@
         true
     }
 
-    /// Sets the version of the target, whose grants end with the version.
-    pub fn set_version(&mut self, version: &Name) {
-        if self.version != *version {
-            self.version = version.clone();
+    /// Sets the version of the target, whose grants end with the version. Returns whether it is another
+    /// one than before.
+    pub fn set_version(&mut self, version: &Name) -> bool {
+        if self.version == *version {
+            return false;
+        }
+        let was_known = !self.version.is_empty();
+        let is_ordered = self.order.as_ref().is_some_and(|order| order.version == *version);
+        if was_known || !is_ordered {
             self.grant = None;
         }
+        self.version = version.clone();
+        was_known
     }
 
     /// Returns the order, the version of the target, and the time since the order was first seen in
--- a/crates/sidecar/src/guard/heartbeats.rs
+++ b/crates/sidecar/src/guard/heartbeats.rs
@@ -74,7 +74,9 @@
             address: heartbeat.address,
         });
         state.admission.set_slots(heartbeat.slots);
-        state.admission.exposure_mut().set_version(&heartbeat.version);
+        if state.admission.exposure_mut().set_version(&heartbeat.version) {
+            self.rollout.forget_evidence();
+        }
         if heartbeat.leaving && !state.incarnations.is_gone(&life) {
             tracing::info!(id = &*life.id, sequence = heartbeat.sequence, "target: leaving");
             state.incarnations.mark_gone(life.clone());
--- a/crates/sidecar/src/guard/rollout.rs
+++ b/crates/sidecar/src/guard/rollout.rs
@@ -8,7 +8,7 @@
 use world::Name;
 
 use crate::guard::attempt::Outcome;
-use crate::guard::state::Guard;
+use crate::guard::state::{Guard, State};
 
 /// How many times longer than expected an attempt must have run to count as an answer when it is
 /// cancelled: that it was slow is known.
@@ -25,10 +25,25 @@
     was_barred: Cell<bool>,
 }
 
+impl GuardRollout {
+    /// Begins to count anew.
+    pub(super) fn forget_evidence(&self) {
+        self.evidence.replace(Evidence::default());
+    }
+}
+
 impl Guard {
     /// Keeps to roll-outs from now on.
     pub fn enable_rollouts(&self) {
         self.rollout.enabled.set(true);
+        self.rollout.was_barred.set(self.rules.revision() == 0);
+    }
+
+    /// Returns whether the target gets nothing because of a roll-out. Without a ruleset, nothing is
+    /// known of orders.
+    pub(super) fn is_barred(&self, state: &State) -> bool {
+        let is_unknown = self.rollout.enabled.get() && self.rules.revision() == 0;
+        is_unknown || state.admission.exposure().is_barred(self.clock.now())
     }
 
     /// Applies the order in force to the target, and tells peers if it may be sent requests again or no
@@ -37,7 +52,6 @@
         if !self.rollout.enabled.get() {
             return;
         }
-        // Without a ruleset, nothing is known of orders, and no request can be routed.
         let Some(rules) = self.rules.current() else { return };
         let service = self.service().unwrap_or_else(|| self.vm_service.clone());
         let order = rules.rollout(&service);
@@ -45,7 +59,7 @@
         let mut state = self.state.borrow_mut();
         let exposure = state.admission.exposure_mut();
         if exposure.set_order(now, order) {
-            self.rollout.evidence.replace(Evidence::default());
+            self.rollout.forget_evidence();
             match order {
                 Some(order) => tracing::info!(
                     service = &*order.service,
@@ -62,7 +76,13 @@
         let barred = exposure.is_barred(now);
         drop(state);
         if self.rollout.was_barred.replace(barred) != barred {
-            tracing::info!(barred, per_s, "rollout: the target gets no requests, or some again");
+            if order.is_some() {
+                tracing::info!(
+                    barred,
+                    per_s,
+                    "rollout: the target gets no requests, or some again"
+                );
+            }
             self.update_queue();
             self.notify_peers();
         }
--- a/crates/sidecar/src/guard/state.rs
+++ b/crates/sidecar/src/guard/state.rs
@@ -219,8 +219,7 @@
     }
 
     fn refusal_in(&self, state: &State) -> Option<Refusal> {
-        let is_barred = || state.admission.exposure().is_barred(self.clock.now());
-        self.closed_in(state).or_else(|| is_barred().then_some(Refusal::Limited))
+        self.closed_in(state).or_else(|| self.is_barred(state).then_some(Refusal::Limited))
     }
 
     /// Returns why the guard refuses every request, whatever its target's version may be sent.
--- a/crates/sidecar/src/peers/rollout.rs
+++ b/crates/sidecar/src/peers/rollout.rs
@@ -43,6 +43,8 @@
 const STORE_PATIENCE_US: u64 = 1_000_000;
 /// Time between two steps of a coordinator, and thus two calls of the store.
 const STEP_PAUSE: Duration = Duration::from_millis(150);
+/// The same once there is a verdict.
+const LATE_PAUSE: Duration = Duration::from_millis(500);
 
 /// What the node needs to take part in roll-outs.
 #[derive(Clone, Copy, Debug)]
@@ -278,7 +280,10 @@
                 Task::End => break,
             };
             self.note_store(&order, result);
-            tokio::time::sleep(STEP_PAUSE).await;
+            let has_verdict =
+                self.rollouts.with(&order, |rollout| rollout.coordinator.has_verdict());
+            let pause = if has_verdict == Some(true) { LATE_PAUSE } else { STEP_PAUSE };
+            tokio::time::sleep(pause).await;
         }
         tracing::debug!(service = &*order.service, "rollout: this node no longer coordinates it");
         self.rollouts.coordinated.borrow_mut().retain(|other| other.order != order);
@@ -296,7 +301,7 @@
             let coordinator = &mut rollout.coordinator;
             coordinator.advance(now);
             let due = coordinator.due_state(now);
-            if coordinator.is_deserted(now) && !coordinator.has_verdict_due(now) {
+            if coordinator.is_deserted(now) {
                 return Task::End;
             }
             let step = coordinator.step();
--- a/crates/sidecar/tests/rollouts.rs
+++ b/crates/sidecar/tests/rollouts.rs
@@ -93,6 +93,21 @@
     deployment.vms[NEW].iter().map(|vm| vm.target.runs().len()).sum()
 }
 
+/// Restarts a node with a target of the completed version, which has to learn the verdict.
+async fn serves_after_restart(deployment: Rc<Deployment>) {
+    let mut deployment = Rc::into_inner(deployment).expect("requests are under way");
+    deployment.vms[NEW.start].kill().await;
+    deployment.start_node(NEW.start);
+    let ready = async || deployment.vms[NEW.start].is_ready().await;
+    assert!(eventually(Duration::from_secs(5), ready).await, "not ready after its restart");
+    assert_eq!(deployment.vms[NEW.start].heartbeat("ready", 0.0).await, 200);
+    let before = deployment.vms[NEW.start].target.runs().len();
+    let deployment = Rc::new(deployment);
+    send_load(&deployment, Duration::from_secs(3)).await;
+    let after = deployment.vms[NEW.start].target.runs().len();
+    assert!(after > before, "no requests after its restart");
+}
+
 // Guards against bad versions that stay in service or get more than the bound, and good ones that are
 // not completed, also if the coordinator dies in the trial or the store is away at the verdict.
 #[tokio::test(flavor = "multi_thread")]
@@ -132,6 +147,7 @@
             send_load(&deployment, LATER).await;
             let old = deployment.vms[0].target.runs().len();
             assert_eq!(old, before, "requests at the old version after its end");
+            serves_after_restart(deployment).await;
         }
     }
 }
