--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -37,9 +37,6 @@
 /// Overdue requests, without any answer since the first of them started, from which the target is
 /// taken to be stalled.
 const STALLED_REQUESTS: usize = 2;
-/// The pause after which a request tries again to start at a cold target that keeps its room for
-/// more urgent ones, in microseconds. The demand of these is counted over a second.
-const RESERVED_WAIT_US: u64 = 20_000;
 /// Limit of a request's wait, as a share of the time to its deadline: a request that is refused
 /// early can still be served when its caller retries.
 const MAX_WAIT_SHARE: f64 = 0.4;
@@ -364,28 +361,6 @@
         }
     }
 
-    /// Returns when [`Admission::poll`] is due if nothing else happens before; `Time::NEVER` if no
-    /// request waits.
-    pub fn due(&mut self, now: Time) -> Time {
-        let earliest = self.waiting.iter().map(|waiting| waiting.until).min();
-        let mut earliest = earliest.unwrap_or(Time::NEVER);
-        let held = self.waiting.iter().any(|waiting| !self.may_start(now, &waiting.request));
-        if held && self.has_room(now) {
-            earliest = earliest.min(self.slowness.next_probe(now));
-        }
-        if self.waiting.is_empty() {
-            return earliest;
-        }
-        if self.named.room(now) == Some(0) {
-            earliest = earliest.min(self.named.next_room(now));
-        }
-        if self.is_cold(now) || self.warmth.room(now) == Some(0) {
-            let least_us = if self.has_room(now) { RESERVED_WAIT_US } else { 1_000 };
-            earliest = earliest.min(self.warmth.next_room(now).max(now.after(least_us)));
-        }
-        earliest
-    }
-
     /// Returns how many requests could start now; if any wait, their number, negated.
     pub fn free_slots(&mut self, now: Time) -> i32 {
         if !self.waiting.is_empty() {
--- a/crates/policy/src/admission/queue.rs
+++ b/crates/policy/src/admission/queue.rs
@@ -6,6 +6,10 @@
 /// Limit of waiting requests per slot; more could not start before their deadlines.
 const WAITING_PER_SLOT: usize = 4;
 
+/// The pause after which a request tries again to start at a cold target that keeps its room for
+/// more urgent ones, in microseconds. The demand of these is counted over a second.
+const RESERVED_WAIT_US: u64 = 20_000;
+
 /// A request that waits for a slot or a probe.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
@@ -48,6 +52,28 @@
         true
     }
 
+    /// Returns when [`Admission::poll`] is due if nothing else happens before; `Time::NEVER` if no
+    /// request waits.
+    pub fn due(&mut self, now: Time) -> Time {
+        let earliest = self.waiting.iter().map(|waiting| waiting.until).min();
+        let mut earliest = earliest.unwrap_or(Time::NEVER);
+        let held = self.waiting.iter().any(|waiting| !self.may_start(now, &waiting.request));
+        if held && self.has_room(now) {
+            earliest = earliest.min(self.slowness.next_probe(now));
+        }
+        if self.waiting.is_empty() {
+            return earliest;
+        }
+        if self.named.room(now) == Some(0) {
+            earliest = earliest.min(self.named.next_room(now));
+        }
+        if self.is_cold(now) || self.warmth.room(now) == Some(0) {
+            let least_us = if self.has_room(now) { RESERVED_WAIT_US } else { 1_000 };
+            earliest = earliest.min(self.warmth.next_room(now).max(now.after(least_us)));
+        }
+        earliest
+    }
+
     /// Returns which waiting request starts now. `None` if none can.
     pub(super) fn next_start(&mut self, now: Time) -> Option<usize> {
         if self.waiting.is_empty() || !self.has_room(now) {
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -570,6 +570,9 @@
             (false, _) => "lost",
         };
         entry.metrics.record_call(&self.service, outcome, took_us as f64 / 1e6);
+        if outcome == "refused" {
+            entry.metrics.record_refusal(&self.service, self.refusal);
+        }
         let notable = outcome != "answered" || took_us > self.route.aim_us;
         let bucket = if notable { &entry.notable_lines } else { &entry.routine_lines };
         if !bucket.borrow_mut().take(now, 1.0) {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::AtomicU64;
 
+use policy::Refusal;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -25,12 +26,23 @@
     pub outcome: String,
 }
 
+/// Labels of the counter of refused requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// The service that the request was routed to.
+    pub service: String,
+    /// The reason of the last refusal, as in the logs.
+    pub refusal: String,
+}
+
 /// The metrics of a node and the registry that renders them.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     /// Seconds from the arrival of a request's head until its answer is known.
     pub latency: Family<CallLabels, Histogram>,
+    /// Callers' requests that this node refused.
+    pub refused: Family<RefusalLabels, Counter>,
     /// Health checks that the guard sent to the target.
     pub probes: Counter,
     /// Requests that the guard sent to the target.
@@ -61,6 +73,8 @@
         let latency: Family<CallLabels, Histogram> =
             Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S));
         registry.register("call_seconds", "Time until the answer", latency.clone());
+        let refused: Family<RefusalLabels, Counter> = Family::default();
+        registry.register("refused", "Requests refused by reason", refused.clone());
         let ruleset_wait = Histogram::new(RULESET_BOUNDS_S);
         let help = "Time from the first notice of a revision until it was in force";
         registry.register("ruleset_wait_seconds", help, ruleset_wait.clone());
@@ -82,6 +96,7 @@
         };
         Metrics {
             latency,
+            refused,
             probes: counter("target_probes", "Health checks of the target"),
             target_requests: counter("target_requests", "Requests sent to the target"),
             target_limit,
@@ -105,6 +120,12 @@
         self.latency.get_or_create(&labels).observe(seconds);
     }
 
+    /// Records that a request was refused, and why.
+    pub fn record_refusal(&self, service: &str, refusal: Refusal) {
+        let labels = RefusalLabels { service: service.to_owned(), refusal: refusal.to_string() };
+        self.refused.get_or_create(&labels).inc();
+    }
+
     /// Records that a ruleset is in force, `seconds` after the first notice of its revision.
     pub fn record_ruleset(&self, revision: u64, seconds: f64) {
         self.revision.set(revision);
