--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -604,6 +604,9 @@
         if let Some(workspace) = workspace {
             entry.metrics.record_workspace(workspace, outcome);
         }
+        if outcome == "refused" {
+            entry.metrics.record_refusal(&self.service, self.refusal);
+        }
         let notable = outcome != "answered" || took_us > self.route.aim_us;
         let bucket = if notable { &entry.notable_lines } else { &entry.routine_lines };
         if !bucket.borrow_mut().take(now, 1.0) {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::sync::atomic::AtomicU64;
 
+use policy::Refusal;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -48,6 +49,15 @@
     pub reason: String,
 }
 
+/// Labels of the counter of refused requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// The service that the request was routed to.
+    pub service: String,
+    /// The reason of the last refusal, as in the logs.
+    pub refusal: String,
+}
+
 /// The metrics of a node and the registry that renders them.
 #[derive(Debug)]
 pub struct Metrics {
@@ -60,6 +70,8 @@
     named: RefCell<Vec<Name>>,
     /// Requests that were refused for their key.
     key_refusals: Family<KeyLabels, Counter>,
+    /// Callers' requests that this node refused.
+    pub refused: Family<RefusalLabels, Counter>,
     /// Health checks that the guard sent to the target.
     pub probes: Counter,
     /// Requests that the guard sent to the target.
@@ -102,6 +114,8 @@
         registry.register("workspace_requests", "Requests with a key", workspaces.clone());
         let key_refusals: Family<KeyLabels, Counter> = Family::default();
         registry.register("key_refusals", "Requests refused for their key", key_refusals.clone());
+        let refused: Family<RefusalLabels, Counter> = Family::default();
+        registry.register("refused", "Requests refused by reason", refused.clone());
         let ruleset_wait = Histogram::new(RULESET_BOUNDS_S);
         let help = "Time from the first notice of a revision until it was in force";
         registry.register("ruleset_wait_seconds", help, ruleset_wait.clone());
@@ -130,6 +144,7 @@
             workspaces,
             named: RefCell::default(),
             key_refusals,
+            refused,
             probes: counter("target_probes", "Health checks of the target"),
             target_requests: counter("target_requests", "Requests sent to the target"),
             target_limit,
@@ -177,6 +192,12 @@
         self.key_refusals.get_or_create(&KeyLabels { reason: reason.to_owned() }).inc();
     }
 
+    /// Records that a request was refused, and why.
+    pub fn record_refusal(&self, service: &str, refusal: Refusal) {
+        let labels = RefusalLabels { service: service.to_owned(), refusal: refusal.to_string() };
+        self.refused.get_or_create(&labels).inc();
+    }
+
     /// Records that a ruleset is in force, `seconds` after the first notice of its revision.
     pub fn record_ruleset(&self, revision: u64, seconds: f64) {
         self.revision.set(revision);
