A process that starts counts what its predecessor may have sent a cold target

Cause: the window of what a cold target was sent begins empty with each process.

Change: for 1.05 s from its start a process sends nothing to an older target that is cold or has not proved to be warm; the first health check is the proof, and it is due at once. No wait where the target started after the process.

--- a/crates/policy/tests/warmth.rs
+++ b/crates/policy/tests/warmth.rs
@@ -140,3 +140,40 @@
         assert!(checks * 5 <= sent, "seed {seed}: {checks} checks for {sent}");
     }
 }
+
+// Guards against a process that starts beside a cold target and sends it a second limit within the
+// second in which its predecessor has sent the first.
+#[test]
+fn two_processes_stay_within_the_cold_limit_together() {
+    struct Case {
+        name: &'static str,
+        /// What the target says once the second process runs.
+        cold: Option<bool>,
+        /// Whether requests are sent at once, and a second later.
+        at_once: u32,
+        later: u32,
+    }
+    let cases = [
+        Case { name: "cold", cold: Some(true), at_once: 0, later: LIMIT },
+        Case { name: "warm", cold: Some(false), at_once: LIMIT - 1, later: LIMIT - 1 },
+        Case { name: "nothing", cold: None, at_once: 0, later: LIMIT - 1 },
+    ];
+    for Case { name, cold, at_once, later } in cases {
+        let mut warmth = warmth();
+        warmth.record_earlier(at(0));
+        match cold {
+            Some(true) => warmth.record_cold(at(100), at(9_000)),
+            Some(false) => warmth.record_warm(at(100)),
+            None => assert!(warmth.needs_check(at(100)), "{name}"),
+        }
+        assert_eq!(send(&mut warmth, at(110), 100), at_once, "{name}");
+        if at_once == 0 {
+            assert_eq!(warmth.next_room(at(110)), at(1_050), "{name}");
+            assert_eq!(warmth.room(at(1_049)), Some(0), "{name}");
+        }
+        assert_eq!(send(&mut warmth, at(1_200), 100), later, "{name}");
+        // It counts for no other incarnation.
+        warmth.reset();
+        assert_ne!(warmth.room(at(2_400)), Some(0), "{name}");
+    }
+}
