Connections of callers count with 64 KiB, and a half-read head with 16 KiB at most

A connection whose request is served may have a copy of an incomplete head in the scanner of pipelined requests: up to 64 KiB, which counted nowhere. A head over 16 KiB is left to the server now. An idle connection of a debug build has 38 KB, one with a half-read head more.

--- a/crates/sidecar/src/entry/connections.rs
+++ b/crates/sidecar/src/entry/connections.rs
@@ -9,8 +9,9 @@
 
 /// Share of the node's memory for connections, in sixteenths.
 const MEMORY_SIXTEENTHS: u64 = 3;
-/// The memory that a connection takes up, besides bodies.
-const CONNECTION_BYTES: u64 = 32 * 1024;
+/// The memory that a connection takes up besides bodies and what is read ahead: its tasks, the HTTP
+/// server's buffer and a head that has not arrived completely.
+const CONNECTION_BYTES: u64 = 64 * 1024;
 /// Descriptors of a process that the platform keeps for files.
 const FILE_FDS: usize = 200;
 /// The descriptors of a process if the platform does not say.
--- a/crates/sidecar/src/entry/pipeline.rs
+++ b/crates/sidecar/src/entry/pipeline.rs
@@ -20,7 +20,7 @@
 /// The most requests of one connection that are started early and that the server has not reached.
 const MAX_STARTED: usize = 16;
 /// The longest head that is parsed. A connection with a longer one is left to the server.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 
 /// A request that was started before the server came to it. Dropping it aborts the request.
 #[derive(Debug)]
