--- a/crates/sidecar/tests/crowds.rs
+++ b/crates/sidecar/tests/crowds.rs
@@ -281,3 +281,35 @@
     assert!(answer.starts_with("HTTP/1.1 413 "), "{answer:?}");
     assert_eq!(deployment.run_count("crowd"), 0);
 }
+
+// Guards against bodies that never end and hold the memory for ever: they are ended with 408 once
+// another needs their room, and who is refused before is told so truly.
+#[tokio::test]
+async fn bodies_that_do_not_move_make_room() {
+    let (_turn, deployment) = start(2).await;
+    let address = deployment.vms[1].caller_address();
+    let head = Script::post(&format!("content-length: {MAX_BODY}\r\n"));
+    let script = Script { block: vec![b'x'; MAX_BODY - 1], blocks: 1, end: b"x", ..head };
+    let sent = (0..3).map(|_| send(address, &script, false));
+    let stalled = futures_util::future::join_all(sent).await;
+    let body = "x".repeat(MAX_BODY);
+    let request = TestRequest { method: "POST", path: "/once/x", id: "next", ..Default::default() };
+    let request = TestRequest { body: &body, timeout_ms: 9_000, ..request };
+    let served = eventually(PATIENCE, async || {
+        let Some(answer) = deployment.send_request(1, &request).await else { return false };
+        if answer.status == 503 {
+            assert!(answer.body.contains("2024") && answer.header("retry-after").is_some());
+            assert_eq!(deployment.run_count("next"), 0);
+        }
+        answer.status == 200
+    });
+    assert!(served.await, "no answer; {}", seen(&deployment));
+    assert_eq!((deployment.run_count("next"), deployment.run_count("crowd")), (1, 0));
+    let mut ended = 0;
+    for mut stream in stalled.into_iter().flatten() {
+        let mut answer = String::new();
+        let read = tokio::time::timeout(STUCK, stream.read_to_string(&mut answer)).await;
+        ended += usize::from(read.is_ok() && answer.starts_with("HTTP/1.1 408 "));
+    }
+    assert!(ended > 0, "no stalled body was ended");
+}
