Roll-outs: attempts that are cancelled late count against a version

Cause: in a trial a version that takes 8 times as long for half of its requests got into the ramp: hedged attempts cut its slow answers off at about twice the usual time, where they looked nearly usual. Change: a third test compares the share of attempts that were cancelled late.

--- a/crates/policy/src/rollout/coordinator.rs
+++ b/crates/policy/src/rollout/coordinator.rs
@@ -254,7 +254,8 @@
             self.exposed += all.sent;
         }
         if is_new && !is_lone {
-            self.answers += all.failed + all.times.iter().map(|n| u64::from(*n)).sum::<u64>();
+            self.answers +=
+                all.failed + all.late + all.times.iter().map(|n| u64::from(*n)).sum::<u64>();
         }
         fresh.push(all);
         if !is_new {
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -40,6 +40,8 @@
     pub failed: u64,
     /// Of these, those that were answered while the target was cold.
     pub cold: u64,
+    /// Of the others, those that were cancelled after a time that shows that they were slow.
+    pub late: u64,
     /// The other answers by their time in the target, in steps of half a power of two from 1 ms on.
     pub times: Vec<u32>,
     /// Requests that run, by how long they have, in the same steps. Not a count since the order.
@@ -52,6 +54,7 @@
         self.sent += other.sent;
         self.failed += other.failed;
         self.cold += other.cold;
+        self.late += other.late;
         for (own, others) in [(&mut self.times, &other.times), (&mut self.running, &other.running)]
         {
             own.resize(own.len().max(others.len()), 0);
@@ -71,6 +74,7 @@
             sent: self.sent - earlier.sent,
             failed: self.failed - earlier.failed,
             cold: self.cold - earlier.cold,
+            late: self.late.saturating_sub(earlier.late),
             times: times.map(|(at, count)| count.saturating_sub(before(at))).collect(),
             running: self.running.clone(),
         }
@@ -126,8 +130,7 @@
         self.last_id
     }
 
-    /// Records that the target answered a request with success, or that it was cancelled after a time
-    /// that shows that it is slow.
+    /// Records that the target answered a request with success.
     pub fn answered(&mut self, now: Time, id: u64) {
         let Some(running) = self.withdraw(id) else { return };
         let entry = self.entry(running.route);
@@ -144,6 +147,16 @@
         }
     }
 
+    /// Records that a request was cancelled after a time that shows that it was slow.
+    pub fn cancelled_late(&mut self, id: u64) {
+        let Some(running) = self.withdraw(id) else { return };
+        let entry = self.entry(running.route);
+        match running.cold {
+            true => entry.cold += 1,
+            false => entry.late += 1,
+        }
+    }
+
     /// Records that a request ended in a way that tells nothing of the target.
     pub fn cancelled(&mut self, id: u64) {
         self.withdraw(id);
--- a/crates/policy/src/rollout/verdict.rs
+++ b/crates/policy/src/rollout/verdict.rs
@@ -14,6 +14,8 @@
 const TOLERANCE: f64 = 1.5;
 /// A share of failures that is always tolerated.
 const LEAST_FAILED: f64 = 0.03;
+/// A share of requests that is always tolerated to be cancelled since they are slow.
+const LEAST_LATE: f64 = 0.1;
 /// The share of the answers that a good version gives which a bad one fails or delays.
 const BAD_SHARE: f64 = 0.4;
 /// A share of answers that is tolerated to take twice as long.
@@ -45,6 +47,8 @@
     updated: Time,
     failed: f64,
     answered: f64,
+    /// Requests that were cancelled since they were slow.
+    late: f64,
     times: [f64; TIME_CLASSES],
 }
 
@@ -62,6 +66,7 @@
         self.updated = now;
         self.failed = self.failed * kept + counts.failed as f64;
         self.answered = self.answered * kept + (answered(counts) + counts.cold) as f64;
+        self.late = self.late * kept + counts.late as f64;
         self.times.iter_mut().for_each(|count| *count *= kept);
         for (class, count) in counts.times.iter().enumerate().take(TIME_CLASSES) {
             self.times[class] += f64::from(*count);
@@ -72,6 +77,10 @@
         (self.failed + PRIOR * LEAST_FAILED) / (self.failed + self.answered + PRIOR)
     }
 
+    fn late_share(&self) -> f64 {
+        (self.late + PRIOR * LEAST_LATE) / (self.late + self.count() + PRIOR)
+    }
+
     fn count(&self) -> f64 {
         self.times.iter().sum()
     }
@@ -137,6 +146,15 @@
 }
 
 impl Gain {
+    /// Returns what bad and good answers count where a good version answers badly with the probability
+    /// `usual`.
+    fn of_shares(bad: u64, good: u64, usual: f64) -> Gain {
+        let usual = usual.min(0.9);
+        let expected = usual + BAD_SHARE * (1.0 - usual);
+        let by_good = ((1.0 - expected) / (1.0 - usual)).ln();
+        Gain { sum: bad as f64 * (expected / usual).ln() + good as f64 * by_good, bad }
+    }
+
     /// Adds up classes of times.
     fn of_times(times: &[u32], ratios: &[f64; TIME_CLASSES]) -> Gain {
         let mut gain = Gain::default();
@@ -223,7 +241,10 @@
     pub(super) route: u64,
     others: Baseline,
     failures: Test,
+    /// On the times of answers.
     delays: Test,
+    /// On requests that were cancelled since they were slow.
+    cancels: Test,
 }
 
 impl RouteTests {
@@ -239,41 +260,44 @@
     /// Adds answers of a target of the ordered version, and returns what they show.
     pub(super) fn add_new(&mut self, guard: &Name, counts: &RouteEvidence) -> Option<Finding> {
         let good = answered(counts) + counts.cold;
-        let usual = (self.others.failed_share() * TOLERANCE).clamp(LEAST_FAILED, 0.9);
-        let bad = usual + BAD_SHARE * (1.0 - usual);
-        let sum = counts.failed as f64 * (bad / usual).ln()
-            + good as f64 * ((1.0 - bad) / (1.0 - usual)).ln();
-        self.failures.add(guard, Gain { sum, bad: counts.failed });
+        let usual = (self.others.failed_share() * TOLERANCE).max(LEAST_FAILED);
+        self.failures.add(guard, Gain::of_shares(counts.failed, good, usual));
+        let usual = (self.others.late_share() * TOLERANCE).max(LEAST_LATE);
+        self.cancels.add(guard, Gain::of_shares(counts.late, answered(counts), usual));
         if let Some(ratios) = self.others.time_ratios() {
             self.delays.add(guard, Gain::of_times(&counts.times, &ratios.ended));
             self.delays.set_running(guard, Gain::of_times(&counts.running, &ratios.running));
         }
-        let tests = [&self.failures, &self.delays];
-        let test = tests.into_iter().find(|test| test.total() >= THRESHOLD)?;
+        let test = self.all().into_iter().find(|test| test.total() >= THRESHOLD)?;
         if !test.is_lone(guard) {
             return Some(Finding::Bad);
         }
         Some(Finding::Lone)
     }
 
-    /// Returns the greater sum of the tests.
+    fn all(&self) -> [&Test; 3] {
+        [&self.failures, &self.delays, &self.cancels]
+    }
+
+    /// Returns the greatest sum of the tests.
     pub(super) fn sum(&self) -> f64 {
-        self.failures.total().max(self.delays.total())
+        self.all().into_iter().map(Test::total).fold(0.0, f64::max)
     }
 
     /// Returns whether the answers show a good version rather than a bad one.
     pub(super) fn favour_good(&self) -> bool {
-        self.failures.favours_good() && self.delays.favours_good()
+        self.all().into_iter().all(Test::favours_good)
     }
 
     /// Returns the sums of the tests on failures and on delays.
     pub(super) fn sums(&self) -> (f64, f64) {
-        (self.failures.total(), self.delays.total())
+        (self.failures.total(), self.delays.total().max(self.cancels.total()))
     }
 
     /// Forgets the answers of the ordered version.
     pub(super) fn forget_new(&mut self) {
         (self.failures, self.delays) = (Test::default(), Test::default());
+        self.cancels = Test::default();
     }
 
     /// Returns the class of the time that half of the others' answers do not exceed. `None` while there
--- a/crates/sidecar/src/guard/rollout.rs
+++ b/crates/sidecar/src/guard/rollout.rs
@@ -10,8 +10,8 @@
 use crate::guard::attempt::Outcome;
 use crate::guard::state::{Guard, State};
 
-/// How many times longer than expected an attempt must have run to count as an answer when it is
-/// cancelled: that it was slow is known.
+/// How many times longer than expected an attempt must have run for its cancelling to show that it was
+/// slow.
 const CANCELLED_RATIO: u64 = 2;
 
 /// The guard's part in the roll-out of its service.
@@ -209,7 +209,7 @@
         }
         let now = self.guard.clock.now();
         match now.since(self.begun) >= self.slow_us.max(1) {
-            true => self.count(|evidence, id| evidence.answered(now, id)),
+            true => self.count(|evidence, id| evidence.cancelled_late(id)),
             false => self.count(|evidence, id| evidence.cancelled(id)),
         }
     }
