--- a/crates/policy/src/rollout/coordinator.rs
+++ b/crates/policy/src/rollout/coordinator.rs
@@ -2,11 +2,10 @@
 
 use derive_more::Display;
 use world::{Name, Rollout, RolloutState};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::Time;
 use crate::rollout::evidence::{EvidenceReport, RouteEvidence, class_end_us};
-use crate::rollout::exposure::ExposureGrant;
+use crate::rollout::exposure::{ExposureGrant, ExposureLimit};
 use crate::rollout::verdict::{Finding, RouteTests, THRESHOLD};
 
 /// The time after its start in which the coordinator collects the counts of all guards before it tests
@@ -66,15 +65,6 @@
 /// The share of the service's nodes that must report for a version to be completed.
 const COMPLETE: f64 = 0.8;
 
-/// The bound on what a bad version is sent: a share of the service's requests, and some more.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ExposureLimit {
-    /// The share of the requests between the order and its end.
-    pub share: f64,
-    /// Requests beyond that.
-    pub slack: f64,
-}
-
 /// The steps of a roll-out.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display(rename_all = "snake_case")]
@@ -93,18 +83,6 @@
     RolledBack,
 }
 
-/// Sorts the nodes in the order in which guards ask them to coordinate a service's roll-out, by
-/// rendezvous hashing.
-pub fn coordinator_order<T>(service: &str, nodes: &mut [T], name: impl Fn(&T) -> &str) {
-    let seed = xxh3_64(service.as_bytes());
-    nodes.sort_by_cached_key(|node| xxh3_64_with_seed(name(node).as_bytes(), seed));
-}
-
-/// Returns the id of a route in reports.
-pub fn route_id(name: &str) -> u64 {
-    xxh3_64(name.as_bytes())
-}
-
 /// What one guard reported.
 #[derive(Clone, Debug)]
 struct Reporter {
@@ -283,10 +261,12 @@
     fn conclude(&mut self, now: Time, at: usize, findings: &[Finding]) {
         let mut is_bad = findings.contains(&Finding::Bad);
         if findings.contains(&Finding::Lone) {
-            // A second such target, or no other one, shows that it is the version.
+            // A second such target shows that it is the version, and outside of a trial, in which it is
+            // sent no more, that there is no other one.
             is_bad |= self.reporters.iter().any(|reporter| reporter.lone);
             self.reporters[at].lone = true;
-            is_bad |= self.takers(now).all(|reporter| reporter.lone);
+            let is_only = self.takers(now).all(|reporter| reporter.lone);
+            is_bad |= is_only && self.phase != Phase::Trial;
             self.tests.iter_mut().for_each(RouteTests::forget_new);
             self.answers = 0;
         }
@@ -392,9 +372,11 @@
             (f64::max(most, failures), f64::max(last, delays))
         });
         let (takers, slots) = (self.takers(now).count(), self.room(now));
+        let lone = self.reporters.iter().filter(|reporter| reporter.lone).count();
         format!(
             "{} {}: {}, after {:.1} s of {:.1}, {} of {} requests, {} answers, sums {failures:.1} of failures and \
-             {delays:.1} of delays, at most {THRESHOLD}, {takers} targets with {slots} slots, {:.0}% of the nodes report",
+             {delays:.1} of delays, at most {THRESHOLD}, {takers} targets with {slots} slots, {lone} of them \
+             failing alone, {:.0}% of the nodes report",
             self.order.service,
             self.order.version,
             self.phase,
--- a/crates/policy/src/rollout/exposure.rs
+++ b/crates/policy/src/rollout/exposure.rs
@@ -8,6 +8,15 @@
 /// What a target may be sent at once after a pause, in seconds of its rate.
 const BURST_S: f64 = 1.0;
 
+/// The bound on what a bad version is sent: a share of the service's requests, and some more.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExposureLimit {
+    /// The share of the requests between the order and its end.
+    pub share: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
 /// What the coordinator of a roll-out lets a guard send to its target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ExposureGrant {
