Roll-outs: faults of the whole service do not count against a version

Change: answers of the switch are not tested; the others' failures are taken from the last half second where that shows more.

--- a/crates/policy/src/rollout/coordinator.rs
+++ b/crates/policy/src/rollout/coordinator.rs
@@ -238,7 +238,8 @@
         fresh.push(all);
         if !is_new {
             fresh.iter().for_each(|counts| self.test_of(counts.route).add_other(now, counts));
-        } else if !is_lone {
+        } else if !is_lone && matches!(self.phase, Phase::Trial | Phase::Ramp) {
+            // Later, the other versions answer nothing that these answers could be compared with.
             let found = |counts: &RouteEvidence| self.test_of(counts.route).add_new(&name, counts);
             let findings: Vec<Finding> = fresh.iter().filter_map(found).collect();
             self.conclude(now, at, &findings);
--- a/crates/policy/src/rollout/verdict.rs
+++ b/crates/policy/src/rollout/verdict.rs
@@ -10,6 +10,8 @@
 pub(super) const THRESHOLD: f64 = 14.5;
 /// The time after which answers of the other versions count for a third, in microseconds.
 const MEMORY_US: f64 = 4e6;
+/// The same for what counts if it shows more failures, in microseconds.
+const SHORT_MEMORY_US: f64 = 5e5;
 /// How much more often than the others a good version may fail.
 const TOLERANCE: f64 = 1.5;
 /// A share of failures that is always tolerated.
@@ -47,6 +49,9 @@
     updated: Time,
     failed: f64,
     answered: f64,
+    /// The same with the short memory.
+    just_failed: f64,
+    just_answered: f64,
     /// Requests that were cancelled since they were slow.
     late: f64,
     times: [f64; TIME_CLASSES],
@@ -62,10 +67,15 @@
 
 impl Baseline {
     fn add(&mut self, now: Time, counts: &RouteEvidence) {
-        let kept = (-(now.since(self.updated) as f64) / MEMORY_US).exp();
+        let passed_us = now.since(self.updated) as f64;
+        let (kept, just_kept) =
+            ((-passed_us / MEMORY_US).exp(), (-passed_us / SHORT_MEMORY_US).exp());
         self.updated = now;
         self.failed = self.failed * kept + counts.failed as f64;
         self.answered = self.answered * kept + (answered(counts) + counts.cold) as f64;
+        self.just_failed = self.just_failed * just_kept + counts.failed as f64;
+        self.just_answered =
+            self.just_answered * just_kept + (answered(counts) + counts.cold) as f64;
         self.late = self.late * kept + counts.late as f64;
         self.times.iter_mut().for_each(|count| *count *= kept);
         for (class, count) in counts.times.iter().enumerate().take(TIME_CLASSES) {
@@ -74,7 +84,12 @@
     }
 
     fn failed_share(&self) -> f64 {
-        (self.failed + PRIOR * LEAST_FAILED) / (self.failed + self.answered + PRIOR)
+        let share = |failed: f64, answered: f64| {
+            (failed + PRIOR * LEAST_FAILED) / (failed + answered + PRIOR)
+        };
+        // The others may just have begun to fail, as all targets do.
+        let just = share(self.just_failed, self.just_answered);
+        just.max(share(self.failed, self.answered))
     }
 
     fn late_share(&self) -> f64 {
