--- a/crates/sidecar/src/entry/calls.rs
+++ b/crates/sidecar/src/entry/calls.rs
@@ -38,16 +38,16 @@
         fields: &HeaderMap,
         arrived: Time,
     ) -> Option<Urgency> {
-        let needs_key = !routing.workspaces.is_empty() && !route.public;
-        if !self.is_ranked(routing) || needs_key && fields.contains_key(AUTHORIZATION) {
+        let has_keys = !routing.workspaces.is_empty();
+        if !self.is_ranked(routing) || has_keys && fields.contains_key(AUTHORIZATION) {
             return None;
         }
         let deadline = arrived.after(caller_timeout_us(fields)?);
         let urgency = self.guard.parent(deadline);
         let mut shares = self.match_shares.borrow_mut();
         let is_called = shares.value_mut(&route.name).record(urgency.is_some());
-        let urgency = match needs_key {
-            // Only the target itself sends requests without a key.
+        let urgency = match has_keys {
+            // Callers send a key, except some on public routes; targets send none.
             true => urgency.or_else(|| {
                 let priority = self.guard.likely_priority(deadline)?;
                 Some(Urgency { priority, aim: arrived.after(route.aim_us) })
