ctl: check a routing table before it is sent

Cause: operators could check an inventory, but not the routing table that they write to the store; entries that never match or contradict each other were found only in force.

Change: `bamboowheelctl check FILE [--in-force FILE]` takes the table in JSON too, decodes it as nodes do, lists errors, warnings and notes, and what differs from the table in force. Keys are only counted.

By hand: exit code 0 with warnings, 10 with an error, a broken table or a broken inventory.

--- a/crates/bamboowheelctl/src/error.rs
+++ b/crates/bamboowheelctl/src/error.rs
@@ -29,6 +29,14 @@
         /// The faults, sorted by line and column; at least one.
         faults: Vec<Fault>,
     },
+    /// The routing table cannot be decoded or has errors.
+    #[snafu(display("{path}: {detail}"))]
+    InvalidRouting {
+        /// Path of the file.
+        path: String,
+        /// The error of the decoder, or the number of errors found.
+        detail: String,
+    },
     /// Another change was accepted first.
     #[snafu(display("{}: version {version} ({note}) is in force", Code::Conflict))]
     Conflict {
@@ -98,6 +106,7 @@
             Error::InvalidInventory { faults, .. } => {
                 faults.first().map_or(Code::BadSyntax, |fault| fault.code)
             }
+            Error::InvalidRouting { .. } => Code::BadSyntax,
             Error::Conflict { .. } => Code::Conflict,
             Error::StoreUnknown { .. } => Code::StoreUnknown,
             Error::Store { .. } => Code::StoreUnavailable,
--- a/crates/bamboowheelctl/src/lib.rs
+++ b/crates/bamboowheelctl/src/lib.rs
@@ -3,14 +3,19 @@
 
 mod change;
 mod cmd;
+mod differences;
 mod error;
 mod http;
+mod lint;
 mod output;
 mod store;
 
 pub use change::{Accepted, change, current};
+pub use cmd::check::compare;
 pub use cmd::explain;
+pub use differences::{Difference, differences};
 pub use error::Error;
+pub use lint::{Finding, Severity, lint};
 
 use gumdrop::Options;
 
@@ -22,7 +27,7 @@
     bamboowheelctl [options] COMMAND [arguments]
 
 Commands:
-    check       check an inventory file
+    check       check an inventory or a routing table, and compare it with the one in force
     apply       check an inventory file and put it in force
     show        show the inventory in force
     history     list the accepted changes
@@ -62,7 +67,7 @@
 
 #[derive(Debug, Options)]
 enum Command {
-    #[options(help = "check an inventory file")]
+    #[options(help = "check an inventory or a routing table")]
     Check(cmd::check::Args),
     #[options(help = "check an inventory file and put it in force")]
     Apply(cmd::apply::Args),
