ctl: an IPv6 host of a route is no host with a port

Cause: the check took each colon in a route's host for a port, and so reported `[::1]` as never matching, although lookup finds it for `[::1]:80`.

Change: a host that ends with a bracket is passed over.

--- a/crates/bamboowheelctl/src/lint.rs
+++ b/crates/bamboowheelctl/src/lint.rs
@@ -90,7 +90,8 @@
 }
 
 fn lint_match(route: &RouteRule, limits: &CallerLimits, add: &mut impl FnMut(Severity, String)) {
-    if route.host.contains(':') {
+    // An IPv6 address in brackets has colons without a port.
+    if route.host.contains(':') && !route.host.ends_with(']') {
         add(Severity::Error, "it never matches: its host has a port".into());
     }
     if !route.prefix.starts_with('/') {
--- a/crates/bamboowheelctl/tests/check.rs
+++ b/crates/bamboowheelctl/tests/check.rs
@@ -33,6 +33,16 @@
             finding: "error route r it never matches: its prefix does not begin with a slash",
             changes: &["route r prefix: /a/ -> a/"],
         },
+        Case {
+            edit: ("a.example", "a.example:80"),
+            finding: "error route r it never matches: its host has a port",
+            changes: &["route r host: a.example -> a.example:80"],
+        },
+        Case {
+            edit: ("a.example", "[::1]"),
+            finding: "",
+            changes: &["route r host: a.example -> [::1]"],
+        },
         Case {
             edit: ("0.4", "0.9"),
             finding: "warning route r its latency objective is above its timeout",
