--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -1,11 +1,13 @@
 //! One request of a caller: finds its route, runs its attempts and builds its response.
 
+mod hedge;
+mod response;
+
 use std::pin::Pin;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use http::StatusCode;
-use http::header::HeaderValue;
 use http::request::Parts;
 use platform::headers;
 use policy::{Candidate, QuotaToken, Refusal, Time, Urgency, choose, room};
@@ -14,10 +16,10 @@
 use wire::link::Attempt;
 use world::{Code, Name, Repeat, RouteRule};
 
-use crate::entry::attempt::{Destination, execute, wait_for_silence};
+use crate::entry::attempt::{Destination, execute};
 use crate::entry::callers::{deadline, host};
 use crate::entry::keys::{self, KeyHolder};
-use crate::entry::responses::{CallerResponse, error_response, forward, set_return};
+use crate::entry::responses::{CallerResponse, error_response};
 use crate::entry::state::Entry;
 use crate::guard::{Answer, Outcome};
 use crate::peers::Peer;
@@ -30,13 +32,6 @@
 /// Time that an answer needs from the guard to the caller. The deadline that a guard gets is that
 /// much earlier, so that its reply arrives before the caller's deadline.
 const RETURN_US: u64 = 6_000;
-/// A hedged attempt is sent no earlier than after this many times the expected work time.
-const HEDGE_DELAY_FACTOR: f64 = 1.3;
-/// How many guards are asked to run a hedged attempt at once or refuse it.
-const HEDGE_TRIES: usize = 3;
-/// A hedged attempt is expected to take this many times the expected work time.
-const HEDGE_WORK_FACTOR: f64 = 1.1;
-
 /// An attempt that has been sent. Dropping it cancels the attempt.
 type RunningAttempt = Pin<Box<dyn Future<Output = Outcome>>>;
 
@@ -404,102 +399,6 @@
         Box::pin(execute(entry, destination, attempt, body, deadline, slow_us))
     }
 
-    /// Runs one attempt. If the request may run twice, a hedged attempt is started beside the first
-    /// when that takes long or its guard is silent. The first good answer is used, and only then is
-    /// the other attempt cancelled.
-    async fn run_attempt(&mut self, destination: Destination, elsewhere: bool) -> Next {
-        let mut first = self.start_attempt(&destination, elsewhere);
-        let mut silence = std::pin::pin!(wait_for_silence(self.entry.clone(), destination.clone()));
-        let Some(hedge_at) = self.hedge_at() else {
-            let outcome = tokio::select! {
-                outcome = &mut first => outcome,
-                // Later requests avoid the guard, but this attempt may still be running there.
-                () = silence => first.await,
-            };
-            return self.handle_outcome(&destination, outcome);
-        };
-        let hedge = tokio::time::sleep_until(self.entry.clock.instant(hedge_at));
-        tokio::select! {
-            biased;
-            outcome = &mut first => return self.handle_outcome(&destination, outcome),
-            () = &mut silence => {}
-            () = hedge => {}
-        }
-        self.hedged = true;
-        for _ in 0..HEDGE_TRIES {
-            let Some((other, hedged)) = self.start_hedged_attempt() else { break };
-            if let Some(next) = self.race((&destination, &mut first), (&other, hedged)).await {
-                return next;
-            }
-        }
-        let outcome = first.await;
-        self.handle_outcome(&destination, outcome)
-    }
-
-    /// Returns when a hedged attempt is due: as late as it can still meet the route's latency
-    /// target. None if none may be sent.
-    fn hedge_at(&self) -> Option<Time> {
-        if self.route.repeat != Repeat::Safe || self.hedged || self.reached > 0 {
-            return None;
-        }
-        let now = self.entry.clock.now();
-        let work_us =
-            self.entry.estimates.borrow_mut().value_mut(&self.route.name).request(0).work_us;
-        let aim = self.arrived.after(self.route.aim_us.saturating_sub(RETURN_US));
-        let latest_us = aim.since(now) as f64 - work_us * HEDGE_WORK_FACTOR;
-        Some(now.after(latest_us.max(work_us * HEDGE_DELAY_FACTOR) as u64))
-    }
-
-    /// Starts a hedged attempt, which the guard runs at once or refuses. None if no destination or
-    /// retry budget is left.
-    fn start_hedged_attempt(&mut self) -> Option<(Destination, RunningAttempt)> {
-        if !self.may_start() {
-            return None;
-        }
-        let destination = self.choose_destination()?;
-        if !self.take_retry(self.reached + 1) {
-            return None;
-        }
-        let attempt = self.start_attempt(&destination, true);
-        Some((destination, attempt))
-    }
-
-    /// Waits for the first good answer of two attempts. None if the hedged attempt was refused
-    /// while the first one is still open.
-    async fn race(
-        &mut self,
-        first: (&Destination, &mut RunningAttempt),
-        hedged: (&Destination, RunningAttempt),
-    ) -> Option<Next> {
-        let mut other = hedged.1;
-        tokio::select! {
-            outcome = &mut *first.1 => match self.handle_outcome(first.0, outcome) {
-                Next::Respond(answer) => Some(Next::Respond(answer)),
-                Next::TryAnother | Next::Stop => {
-                    let outcome = other.await;
-                    Some(self.handle_outcome(hedged.0, outcome))
-                }
-            },
-            outcome = &mut other => {
-                let ran = !matches!(outcome, Outcome::NotRun { .. });
-                match self.handle_outcome(hedged.0, outcome) {
-                    Next::Respond(answer) => Some(Next::Respond(answer)),
-                    Next::TryAnother | Next::Stop if ran => {
-                        let outcome = (&mut *first.1).await;
-                        Some(self.handle_outcome(first.0, outcome))
-                    }
-                    Next::TryAnother | Next::Stop => {
-                        let (now, bound) = (self.entry.clock.now(), self.entry.retry_bound.get());
-                        let mut budgets = self.entry.budgets.borrow_mut();
-                        budgets.value_mut(&self.service).refund(now, &bound);
-                        self.entry.refund_repeat(self.token.as_ref());
-                        None
-                    }
-                }
-            }
-        }
-    }
-
     /// Records the outcome of an attempt and decides what to do next.
     fn handle_outcome(&mut self, destination: &Destination, outcome: Outcome) -> Next {
         let success = match &outcome {
@@ -544,93 +443,4 @@
             }
         }
     }
-
-    /// Builds the response to the caller and logs the request.
-    fn finish(&mut self, answer: Option<Answer>, id: Option<&HeaderValue>) -> CallerResponse {
-        let answer = answer.or(self.failure.take());
-        let now = self.entry.clock.now();
-        let forwarded = answer.is_some();
-        let response = match answer {
-            Some(answer) => forward(answer),
-            None => {
-                let (code, status) = self.error_code(now);
-                let mut response = error_response(code, status, id);
-                if status == StatusCode::SERVICE_UNAVAILABLE {
-                    set_return(&mut response, self.refusal, self.deadline.since(now));
-                }
-                response
-            }
-        };
-        self.log(now, response.status(), forwarded);
-        response
-    }
-
-    /// Returns the code and the status of the response to a request without an answer.
-    fn error_code(&self, now: Time) -> (Code, StatusCode) {
-        let is_late = now.after(RETURN_US) >= self.deadline;
-        match (self.outcome_unknown, is_late) {
-            (true, true) => (Code::DeadlinePassed, StatusCode::GATEWAY_TIMEOUT),
-            (true, false) => (Code::TargetFailed, StatusCode::BAD_GATEWAY),
-            (false, _) => {
-                let code = match self.refusal {
-                    Refusal::NoTarget | Refusal::Misdirected => Code::NoTarget,
-                    Refusal::Leaving | Refusal::Out => Code::OutOfService,
-                    Refusal::Draining => Code::ShuttingDown,
-                    Refusal::Late => Code::DeadlinePassed,
-                    Refusal::Shed => Code::TargetRefused,
-                    Refusal::Quarantined => Code::Quarantined,
-                    Refusal::Cold | Refusal::Busy | Refusal::Slow | Refusal::Limited => {
-                        Code::TargetBusy
-                    }
-                    Refusal::Full => Code::Overload,
-                };
-                (code, StatusCode::SERVICE_UNAVAILABLE)
-            }
-        }
-    }
-
-    /// Records the request in the metrics, and logs it unless the limit on log lines is reached.
-    fn log(&self, now: Time, status: StatusCode, forwarded: bool) {
-        let entry = self.entry;
-        let took_us = now.since(self.arrived);
-        let outcome = match (forwarded, status.is_server_error()) {
-            (true, false) => "answered",
-            (true, true) => "failed",
-            (false, _) if status == StatusCode::SERVICE_UNAVAILABLE => "refused",
-            (false, _) => "lost",
-        };
-        entry.metrics.record_call(&self.service, outcome, took_us as f64 / 1e6);
-        let workspace = self.workspace.as_ref().map(|workspace| &*workspace.name);
-        if let Some(workspace) = workspace {
-            entry.metrics.record_workspace(workspace, outcome);
-        }
-        if outcome == "refused" {
-            entry.metrics.record_refusal(&self.service, self.refusal);
-        }
-        let notable = outcome != "answered" || took_us > self.route.aim_us;
-        let bucket = if notable { &entry.notable_lines } else { &entry.routine_lines };
-        if !bucket.borrow_mut().take(now, 1.0) {
-            entry.metrics.dropped_lines.inc();
-            return;
-        }
-        tracing::info!(
-            request = self.id,
-            route = &*self.route.name,
-            service = &*self.service,
-            workspace,
-            status = status.as_u16(),
-            took_us,
-            target_us = self.target_us,
-            attempts = self.attempts,
-            reached = self.reached,
-            hedged = self.hedged,
-            priority = self.priority(),
-            is_call = self.inherited.is_some(),
-            tried = ?self.tried,
-            refusal = %self.refusal,
-            detail = self.detail,
-            revision = entry.ruleset.revision(),
-            "entry: {outcome}"
-        );
-    }
 }
