--- a/crates/policy/src/rate.rs
+++ b/crates/policy/src/rate.rs
@@ -6,7 +6,7 @@
 
 /// Length of the window, in microseconds: a second, and the time that a request may take to its
 /// target.
-pub(crate) const WINDOW_US: u64 = 1_050_000;
+const WINDOW_US: u64 = 1_050_000;
 
 /// Limits the requests in any second. It keeps the time of every request in the window, so that no
 /// second holds more than the limit, wherever it begins.
--- a/crates/policy/src/warmth.rs
+++ b/crates/policy/src/warmth.rs
@@ -5,7 +5,6 @@
 //! second, that stays within the limit of a cold target. A health check is due before the limit is
 //! used up, so that a warm target does not wait.
 
-use crate::rate::WINDOW_US;
 use crate::{RateWindow, Time};
 
 /// A health check is due once this share of the limit was sent without a proof.
@@ -33,8 +32,6 @@
     warm_at: Time,
     /// No health check is due before.
     next_check: Time,
-    /// Until when an earlier process may have sent as much as the limit. `None` if there was none.
-    earlier: Option<Time>,
     sent: RateWindow,
 }
 
@@ -52,11 +49,6 @@
         *self = Warmth { limit, needs_proof, sent, ..Warmth::default() };
     }
 
-    /// Records that an earlier process may have sent the target as much as the limit until `until`.
-    pub fn record_earlier(&mut self, until: Time) {
-        self.earlier = Some(until);
-    }
-
     /// Handles a statement that arrived at `now`: the target stays cold until `until`. It does not
     /// shorten an earlier one, since it may have been under way for long.
     pub fn record_cold(&mut self, now: Time, until: Time) {
@@ -99,9 +91,6 @@
     pub fn room(&mut self, now: Time) -> Option<u32> {
         let limit = self.limit?;
         let since = self.counted_from(now)?;
-        if self.earlier_end(now, since).is_some() {
-            return Some(0);
-        }
         let limit = match self.is_cold(now) {
             true => limit,
             false => limit.saturating_sub(CHECK_ROOM).max(1),
@@ -111,9 +100,7 @@
 
     /// Returns when more may be sent; `now` if there is no limit.
     pub fn next_room(&mut self, now: Time) -> Time {
-        let Some(since) = self.counted_from(now) else { return now };
-        let earlier = self.earlier_end(now, since).unwrap_or(now);
-        self.sent.next_room_since(now, since).max(earlier)
+        self.counted_from(now).map_or(now, |since| self.sent.next_room_since(now, since))
     }
 
     /// Returns whether a health check is due.
@@ -123,8 +110,7 @@
             return false;
         }
         let unproven = self.sent.count_since(now, self.warm_at);
-        let is_due = f64::from(unproven) >= f64::from(limit) * UNPROVEN_SHARE
-            || self.earlier_end(now, self.warm_at).is_some();
+        let is_due = f64::from(unproven) >= f64::from(limit) * UNPROVEN_SHARE;
         is_due && unproven < limit
     }
 
@@ -143,13 +129,6 @@
         }
     }
 
-    /// Returns until when what an earlier process sent at `since` or later counts. `None` if it does
-    /// not count.
-    fn earlier_end(&self, now: Time, since: Time) -> Option<Time> {
-        let until = self.earlier.filter(|until| *until >= since)?;
-        Some(until.after(WINDOW_US)).filter(|end| *end > now)
-    }
-
     /// Returns from when on what was sent counts. `None` if nothing counts.
     fn counted_from(&self, now: Time) -> Option<Time> {
         match (self.is_cold(now), self.needs_proof) {
--- a/crates/sidecar/src/guard/heartbeats.rs
+++ b/crates/sidecar/src/guard/heartbeats.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use platform::heartbeat::Heartbeat;
-use policy::{Refusal, Time};
+use policy::Refusal;
 use runtime::{MAX_AHEAD_MS, wall_ms};
 use wire::link::Life;
 use world::{Name, Ruleset};
@@ -13,10 +13,6 @@
 use crate::guard::incarnations::HeartbeatKind;
 use crate::guard::state::{Guard, Target};
 
-/// The start of this process. A target that is older may have been sent requests by an earlier one
-/// until then.
-const PROCESS_START: Time = Time(0);
-
 impl Guard {
     /// Returns whether a service is the VM's or one of the ruleset's, or whether there is no ruleset
     /// yet.
@@ -68,10 +64,6 @@
                 "target: new incarnation"
             );
             state.admission.warmth_mut().reset();
-            let age_ms = self.clock.now().0 / 1_000;
-            if heartbeat.born <= wall_ms().saturating_sub(age_ms) {
-                state.admission.warmth_mut().record_earlier(PROCESS_START);
-            }
             state.admission.reset_named();
             state.target_refusal = None;
             self.pool.clear();
@@ -132,7 +124,6 @@
         let Some(life) = state.incarnations.adopt(id) else { return };
         tracing::info!(id = &**id, service = &*service, slots, "target: found by a health check");
         state.admission.set_slots(slots);
-        state.admission.warmth_mut().record_earlier(PROCESS_START);
         state.target = Some(Target { life, service, address });
         drop(state);
         self.update_cold_limit();
