--- a/crates/sidecar/tests/mixed.rs
+++ b/crates/sidecar/tests/mixed.rs
@@ -28,7 +28,7 @@
     let request = TestRequest { method: "POST", body, ..request };
     let mut caller = Caller::connect(deployment.vms[at].caller_address()).await.unwrap();
     let answer = caller.send_request(&request).await;
-    assert_eq!(deployment.run_count(id), 1, "{id}: runs");
+    assert_eq!(deployment.run_count(id), 1, "{id}: runs; {answer:?}");
     answer.map_or((0, String::new()), |answer| (answer.status, answer.body))
 }
 
