--- a/review/stands-2/src/lib.rs
+++ b/review/stands-2/src/lib.rs
@@ -45,6 +45,7 @@
     slots: u32,
     sequence: u64,
     born: u64,
+    has_started: bool,
     node: Option<Child>,
 }
 
@@ -68,6 +69,12 @@
 
     /// Starts the node.
     pub fn start(&mut self) {
+        if std::mem::replace(&mut self.has_started, true) {
+            // `bootstrap` is true only when the whole system starts for the first time.
+            let text = std::fs::read_to_string(&self.settings).expect("cannot read the settings");
+            let text = text.replace("bootstrap = true", "bootstrap = false");
+            std::fs::write(&self.settings, text).expect("cannot write the settings");
+        }
         let node = Command::new(PROGRAM)
             .args(ARGUMENTS)
             .env("BAMBOOWHEEL_NODE_FILE", &self.settings)
@@ -119,6 +126,22 @@
         send_request(self.control(), &request).await.map_or(0, |answer| answer.status)
     }
 
+    /// Ends the backend's process: its listener and all its connections close.
+    pub async fn crash_backend(&mut self) {
+        let spare = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        // The old one is dropped, which closes everything.
+        self.target = Target::bind(spare, "none").await.expect("cannot bind");
+    }
+
+    /// Starts the backend again at its address and under its id, `later` after its first start.
+    pub async fn restart_backend(&mut self, later: Duration) {
+        let address = SocketAddr::new(self.ip, 8628);
+        let id = format!("i-{}", self.name);
+        self.target = Target::bind(address, &id).await.expect("cannot bind the backend");
+        self.born += later.as_millis() as u64;
+        self.sequence = 0;
+    }
+
     /// Returns the memory of the node's process, in bytes: now and at its peak.
     pub fn memory(&self) -> (u64, u64) {
         let Some(id) = self.node.as_ref().and_then(Child::id) else { return (0, 0) };
@@ -161,6 +184,7 @@
                 slots: shape.slots,
                 sequence: 0,
                 born: 1_790_000_000_000,
+                has_started: false,
                 node: None,
             });
         }
