--- a/review/stands-2/src/bin/heads.rs
+++ b/review/stands-2/src/bin/heads.rs
@@ -54,7 +54,7 @@
             bytes.extend(
                 TestRequest {
                     id: &id,
-                    timeout_ms: 6_000,
+                    timeout_ms: 2_000,
                     behaviour: "work=20",
                     headers: &filler,
                     ..TestRequest::default()
@@ -100,11 +100,11 @@
     let shape = Shape {
         machines: vec![("a", "x"), ("a", "y"), ("b", "x"), ("b", "y")],
         memory_mb: MEMORY_MB,
-        timeout_s: 6.0,
+        timeout_s: 2.0,
         slots: 13,
     };
     let mut fleet = Fleet::prepare(&shape).await;
-    write_config(&fleet.store, 3, 6.0, &[("/safe/", "safe", "x"), ("/once/", "unsafe", "x")]);
+    write_config(&fleet.store, 3, 2.0, &[("/safe/", "safe", "x"), ("/once/", "unsafe", "x")]);
     fleet.start().await;
     let trouble = has_trouble();
     record.line(&format!("trouble {trouble}, {MEMORY_BYTES} bytes of memory for each node"));
--- a/review/stands-2/src/bin/innocent.rs
+++ b/review/stands-2/src/bin/innocent.rs
@@ -7,14 +7,14 @@
 use standin::caller::TestRequest;
 use stands_2::{Fleet, Record, Shape, ask, has_trouble, write_config};
 
-/// The machines by zone: five backends of the service `listings` and one of `bookings` in each.
+/// The machines by zone: eight backends of the service `listings` and one of `bookings` in each.
 const ZONES: [&str; 3] = ["a", "b", "c"];
-const LISTINGS_PER_ZONE: usize = 5;
+const LISTINGS_PER_ZONE: usize = 8;
 /// When the backends of the zone `a` go down, and when they are back, after the start of traffic.
-const DOWN: Duration = Duration::from_secs(5);
-const BACK: Duration = Duration::from_secs(8);
+const DOWN: Duration = Duration::from_secs(2);
+const BACK: Duration = Duration::from_secs(5);
 /// How long requests are sent.
-const LENGTH: Duration = Duration::from_secs(60);
+const LENGTH: Duration = Duration::from_secs(30);
 /// Requests of each kind a second over all machines, and how long their callers wait.
 const PER_S: u64 = 150;
 const TIMEOUT_MS: u64 = 1_200;
@@ -22,15 +22,16 @@
 /// One request: its kind, when it was sent, and the status of its answer, 0 for none.
 type Sent = (&'static str, Duration, u16, String);
 
-/// The kinds of requests. All couples look at the same page; items and orders differ.
+/// The kinds of requests, each with a route of its own. All couples look at the same page; items and
+/// orders differ.
 const KINDS: [&str; 3] = ["page", "item", "order"];
 
 async fn send(address: SocketAddr, kind: &'static str, number: u64) -> (u16, String) {
     let id = format!("{kind}{number:06}");
     let (path, body) = match kind {
-        "page" => ("/safe/listings".to_owned(), String::new()),
-        "item" => (format!("/safe/item/{number}"), String::new()),
-        _ => ("/once/order".to_owned(), format!("order {number}")),
+        "page" => ("/listings/".to_owned(), String::new()),
+        "item" => (format!("/items/{number}"), String::new()),
+        _ => ("/bookings/order".to_owned(), format!("order {number}")),
     };
     let request = TestRequest {
         method: if kind == "order" { "POST" } else { "GET" },
@@ -56,7 +57,11 @@
     }
     let shape = Shape { machines, memory_mb: 260, timeout_s: 2.0, slots: 12 };
     let mut fleet = Fleet::prepare(&shape).await;
-    let routes = [("/safe/", "safe", "listings"), ("/once/", "unsafe", "bookings")];
+    let routes = [
+        ("/listings/", "safe", "listings"),
+        ("/items/", "safe", "listings"),
+        ("/bookings/", "unsafe", "bookings"),
+    ];
     write_config(&fleet.store, 3, 2.0, &routes);
     fleet.start().await;
     let trouble = has_trouble();
@@ -95,9 +100,12 @@
         if trouble && !is_down && now >= DOWN {
             is_down = true;
             let zone = fleet.machines.iter_mut().filter(|one| one.zone == "a");
+            let mut backends = Vec::new();
             for machine in zone.filter(|one| one.service == "listings") {
-                machine.crash_backend().await;
+                backends.push(machine.take_backend().await);
             }
+            // All at once.
+            drop(backends);
             record.line("the backends of listings in zone a go down");
         }
         if is_down && !is_back && now >= BACK {
--- a/review/stands-2/src/bin/slow_bodies.rs
+++ b/review/stands-2/src/bin/slow_bodies.rs
@@ -14,13 +14,14 @@
 const CROWDED: usize = 1;
 /// Callers with slow bodies; the node has 457 connections for callers at 160 MB.
 const MEMBERS: usize = 480;
-/// The length of each body; `maxBodyBytes` is 1,000,000.
-const BODY_BYTES: usize = 150_000;
+/// The length of each body; `maxBodyBytes` is 1,000,000, and the site's
+/// longest upload 360,000.
+const BODY_BYTES: usize = 72_000;
 /// What each sends at once, and the pause after it: 10 kB a second.
 const PIECE_BYTES: usize = 3_000;
 const PAUSE: Duration = Duration::from_millis(300);
-/// How long the callers with bodies wait for an answer, which they say in `X-Timeout-Ms`.
-const TIMEOUT_MS: u64 = 20_000;
+/// How long the callers with bodies wait for an answer: the deadline of the site's uploads.
+const TIMEOUT_MS: u64 = 8_000;
 /// `timeoutS` of the routes.
 const ROUTE_TIMEOUT_S: f64 = 6.0;
 /// Ordinary callers, the pause between two connections of each, and how long each waits.
@@ -28,8 +29,8 @@
 const AGAIN: Duration = Duration::from_millis(400);
 const PATIENCE: Duration = Duration::from_secs(1);
 /// When the ordinary callers begin, and how long they go on.
-const FIRST: Duration = Duration::from_secs(3);
-const LENGTH: Duration = Duration::from_secs(16);
+const FIRST: Duration = Duration::from_millis(1_500);
+const LENGTH: Duration = Duration::from_secs(14);
 /// `contactS`, and the number of clients that the rule asks for.
 const CONTACT: Duration = Duration::from_secs(3);
 const CLIENTS: usize = 7;
