Crashes: a failure clears none, nor does the answer to a similar request

What callers saw: a request that crashes its targets ran 5 times of 5 where a target failed it with 500 between the crashes, as one that dies may do.

Cause: any complete response with the request's id that was no refusal and no unsigned success cleared the request's crashes. A request was recognised by the first 4,096 bytes of its body, so that the answer to an upload that differs later cleared it too, and the same path of another workspace.

Change: only a signed answer below 500, other than 408 and 429, clears. The whole body and the workspace belong to the fingerprint.

--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -7,7 +7,7 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 use crate::Time;
 
@@ -20,7 +20,8 @@
 /// Entries kept at most. The oldest suspects are dropped first, convicted requests last.
 const MAX_ENTRIES: usize = 4_096;
 
-/// A hash that identifies a request by its service, its method, its path and the start of its body.
+/// A hash that identifies a request by its service, its method, its path and its body or the start of
+/// that.
 #[derive(
     Clone,
     Copy,
@@ -39,8 +40,8 @@
 pub struct Fingerprint(pub u64);
 
 impl Fingerprint {
-    /// Computes the fingerprint of a request. `path` includes the query, and `body` is the first
-    /// bytes of the body.
+    /// Computes the fingerprint of a request. `path` includes the query, and `body` is the body
+    /// or its first bytes.
     pub fn of(service: &str, method: &str, path: &str, body: &[u8]) -> Fingerprint {
         let mut hash = Xxh3::new();
         for part in [service.as_bytes(), method.as_bytes(), path.as_bytes(), body] {
@@ -49,6 +50,12 @@
         }
         Fingerprint(hash.digest())
     }
+
+    /// Returns the fingerprint of the request as it is sent in the name of a workspace. Targets answer
+    /// the same request with other data for another one.
+    pub fn in_workspace(self, workspace: &[u8]) -> Fingerprint {
+        Fingerprint(xxh3_64_with_seed(workspace, self.0))
+    }
 }
 
 /// A request that is suspected or convicted of crashing targets.
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -115,7 +115,10 @@
         Fingerprint::of("s", "PUT", "/a", b"body"),
         Fingerprint::of("s", "POST", "/ab", b"ody"),
         Fingerprint::of("s", "POST", "/a", b"bodx"),
+        one.in_workspace(b"w"),
+        one.in_workspace(b"v"),
     ];
     assert!(others.iter().all(|other| *other != one));
+    assert_ne!(one.in_workspace(b"w"), one.in_workspace(b"v"));
     assert_eq!(one, Fingerprint::of("s", "POST", "/a", b"body"));
 }
--- a/crates/sidecar/src/entry/call.rs
+++ b/crates/sidecar/src/entry/call.rs
@@ -360,7 +360,7 @@
         if !guard.has_conclusions() {
             return None;
         }
-        let print = fingerprint(&self.service, &self.method, &self.path, &self.body);
+        let print = fingerprint(&self.service, &self.method, &self.path, &self.fields, &self.body);
         guard.trial_place(print, || self.entry.peers.replicas(&self.service))
     }
 
--- a/crates/sidecar/src/guard/crashes.rs
+++ b/crates/sidecar/src/guard/crashes.rs
@@ -10,18 +10,18 @@
 
 use bytes::Bytes;
 use derive_more::Debug;
+use http::StatusCode;
 use platform::headers;
 use policy::{CrashNotice, CrashReport, Fingerprint, RunPermit, Time};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
+use wire::Field;
 use wire::link::{Attempt, Life};
 use world::Name;
 
 use crate::guard::attempt::{Answer, Outcome};
 use crate::guard::state::{Guard, Target};
 
-/// Bytes of a body by which a request is recognised.
-const PRINTED_BYTES: usize = 4_096;
 /// A target that crashed is back within this time, in microseconds. Its first heartbeat may be late.
 const RETURN_US: u64 = 10_000_000;
 /// The most broken runs that are kept.
@@ -96,13 +96,29 @@
 }
 
 /// Returns the fingerprint of a request.
-pub fn fingerprint(service: &str, method: &str, path: &str, body: &[u8]) -> Fingerprint {
-    Fingerprint::of(service, method, path, &body[..body.len().min(PRINTED_BYTES)])
+pub fn fingerprint(
+    service: &str,
+    method: &str,
+    path: &str,
+    fields: &[Field],
+    body: &[u8],
+) -> Fingerprint {
+    let print = Fingerprint::of(service, method, path, body);
+    let mut fields = fields.iter();
+    match fields.find(|field| field.name == headers::WORKSPACE.as_str()) {
+        Some(workspace) => print.in_workspace(&workspace.value),
+        None => print,
+    }
 }
 
-/// Returns whether an answer shows that the target ran the request and survived that.
+/// Returns whether an answer shows that the target ran the request and survived that. A target that
+/// dies may fail what it runs, and a status that says that a request did not run shows nothing.
 fn is_proof(answer: &Answer) -> bool {
-    answer.headers.contains_key(headers::RESPONSE_SIGNATURE)
+    let is_run = match answer.status {
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS => false,
+        status => !status.is_server_error(),
+    };
+    is_run && answer.headers.contains_key(headers::RESPONSE_SIGNATURE)
 }
 
 impl RunWatch {
@@ -176,8 +192,8 @@
 
     /// Returns the fingerprint of a request, or `None` if it must not be run now.
     pub(super) fn identify(&self, attempt: &Attempt, body: &Bytes) -> Option<Fingerprint> {
-        let Attempt { service, method, path, .. } = attempt;
-        let print = fingerprint(service, method, path, body);
+        let Attempt { service, method, path, fields, .. } = attempt;
+        let print = fingerprint(service, method, path, fields, body);
         if self.run_permit(print) == RunPermit::Refused {
             self.repeat(print);
             return None;
--- a/crates/sidecar/tests/crashes.rs
+++ b/crates/sidecar/tests/crashes.rs
@@ -102,6 +102,49 @@
     assert_eq!(ran, 3, "it ran {ran} times of 6");
 }
 
+struct Between {
+    /// What targets do with the request between two crashes.
+    behaviour: &'static str,
+    /// The end of its body, after as many equal bytes as both have.
+    end: &'static str,
+    status: u16,
+}
+
+// Guards against crashes that are cleared by a failure, which a target that dies may send as well, or
+// by the answer to another request with the same start.
+#[tokio::test]
+async fn a_request_that_crashes_targets_is_not_cleared_by_failures_or_similar_requests() {
+    let cases = [
+        Between { behaviour: "fail", end: "harmful", status: 500 },
+        Between { behaviour: "-", end: "harmless", status: 200 },
+    ];
+    for case in &cases {
+        let mut deployment = Deployment::prepare(NODE, &[("dc-1", "a"), ("dc-1", "b")]).await;
+        deployment.start_nodes().await;
+        let start = "x".repeat(8_000);
+        let send = async |id: &str, behaviour, end: &str| {
+            let body = format!("{start}{end}");
+            let (path, method) = ("/once/upload", "POST");
+            let request =
+                TestRequest { id, path, method, behaviour, body: &body, ..Default::default() };
+            deployment.send_request(1, &request).await.map_or(0, |answer| answer.status)
+        };
+        let mut ran = 0;
+        for round in 0..5 {
+            let id = format!("crash-{round}");
+            send(&id, "crash", "harmful").await;
+            ran += deployment.run_count(&id);
+            let is_back = eventually(Duration::from_secs(3), async || {
+                send("other", "-", "other").await == 200
+            });
+            assert!(is_back.await, "round {round}");
+            let status = send("between", case.behaviour, case.end).await;
+            assert!(status == case.status || round >= 2, "round {round}: {status}");
+        }
+        assert_eq!(ran, 3, "{}: it ran {ran} times of 5", case.behaviour);
+    }
+}
+
 // Guards against crashes that are not counted because the target is back before the node looks.
 #[tokio::test]
 async fn a_request_whose_targets_are_back_at_once_is_stopped_after_the_third() {
