Answers without end hold up no other answers

What callers saw: while eight answers of a node's own target without end came at some megabytes a second, the answer of another target, for another caller of that node, waited for memory until their deadlines: 504. The reported end of the process was not shown: memory stayed inside the setting.

Cause: answers of the own target shared half of the memory for bodies with the answers from all other nodes, and those of unknown length hold what they have while they wait for more.

--- a/crates/policy/tests/bytes.rs
+++ b/crates/policy/tests/bytes.rs
@@ -15,7 +15,7 @@
 // Guards against large uploads, or answers that nobody reads, that starve small requests.
 #[test]
 fn each_kind_of_body_leaves_room_for_the_others() {
-    use BodyKind::{Answer, Request};
+    use BodyKind::{Answer, Request, TargetAnswer};
     const MOST: usize = 8_192 * KIB;
     let cases = [
         Case { name: "all but an eighth", held: &[], next: (Request, 7_168 * KIB), fits: true },
@@ -39,6 +39,30 @@
             next: (Answer, 1),
             fits: false,
         },
+        Case {
+            name: "a quarter for the target's",
+            held: &[],
+            next: (TargetAnswer, 2_048 * KIB),
+            fits: true,
+        },
+        Case {
+            name: "no more for the target's",
+            held: &[(TargetAnswer, 2_048 * KIB)],
+            next: (TargetAnswer, 1),
+            fits: false,
+        },
+        Case {
+            name: "others beside the target's",
+            held: &[(TargetAnswer, 2_048 * KIB)],
+            next: (Answer, 2_048 * KIB),
+            fits: true,
+        },
+        Case {
+            name: "the target's beside others",
+            held: &[(Answer, 4_096 * KIB)],
+            next: (TargetAnswer, 1),
+            fits: false,
+        },
         Case {
             name: "a request beside answers",
             held: &[(Answer, 4_096 * KIB)],
