ctl: a page without end is given up at 16 MiB

What operators saw: status and events kept whatever a node's admin address sent within 3 s.

Cause: the body was collected without a bound on its length.

Why it works: the reader counts the bytes and fails, which drops the connection.

--- a/crates/bamboowheelctl/src/http.rs
+++ b/crates/bamboowheelctl/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -13,6 +13,8 @@
 
 /// Limit for a whole request, from connecting to the end of the body.
 const TIMEOUT: Duration = Duration::from_secs(3);
+/// The longest page that is read.
+const MAX_PAGE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Reads a JSON page from the admin address of a node. The HTTP status is not checked.
 pub async fn get(address: &str, path: &str) -> Result<serde_json::Value, Error> {
@@ -29,5 +31,6 @@
     tokio::spawn(connection);
     let request = hyper::Request::get(path).header("host", address).body(Empty::<Bytes>::new())?;
     let response = sender.send_request(request).await?;
-    Ok(response.into_body().collect().await?.to_bytes())
+    let page = Limited::new(response.into_body(), MAX_PAGE_BYTES).collect().await;
+    page.map(|page| page.to_bytes()).map_err(|error| error as Box<dyn std::error::Error>)
 }
