Crashes: copies of known reports cost little

Cause: each notice swept all cases, and a zone's loss on a large site brings some 720 reports, each about six times.

Change: a report that is known is recognised first, and old ones are removed only when one is added; a decision counts only those that are not old.

--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -98,23 +98,24 @@
     fn open(&self) -> impl Iterator<Item = &Known> {
         self.crashes.iter().filter(|known| !known.cleared)
     }
+}
 
-    /// Returns the number of events: rounds of runs, each of which began after a crash of the one
-    /// before was known. Each report of a node that does not tell the round is an event.
-    fn events(&self) -> usize {
-        let mut rounds: Vec<u64> = self.open().filter_map(|known| known.report.round()).collect();
-        let untold = self.open().count() - rounds.len();
-        rounds.sort_unstable();
-        rounds.dedup();
-        rounds.len() + untold
-    }
+/// Returns the number of events: rounds of runs, each of which began after a crash of the one before was
+/// known. Each report of a node that does not tell the round is an event.
+fn count_events(crashes: &[&Known]) -> usize {
+    let mut rounds: Vec<u64> = crashes.iter().filter_map(|known| known.report.round()).collect();
+    let untold = crashes.len() - rounds.len();
+    rounds.sort_unstable();
+    rounds.dedup();
+    rounds.len() + untold
 }
 
 impl Crashes {
     /// Applies a notice. Returns whether it changed anything, so that it must be passed on.
     pub fn apply(&mut self, now: Time, notice: &CrashNotice) -> bool {
-        self.forget(now);
         let changed = match notice {
+            // Most notices are copies of others.
+            CrashNotice::Crashed(report) if self.knows(report) => false,
             CrashNotice::Crashed(report) => self.record(now, report, false),
             CrashNotice::Cleared(_) => false,
             CrashNotice::Answered(reports) => {
@@ -122,10 +123,17 @@
                 changed.count() > 0
             }
         };
-        self.has_conclusions = self.cases.iter().any(|case| case.open().count() >= CRASHES);
+        if changed {
+            self.has_conclusions = self.cases.iter().any(|case| case.open().count() >= CRASHES);
+        }
         changed
     }
 
+    fn knows(&self, report: &CrashReport) -> bool {
+        let Ok(at) = self.find(report.print) else { return false };
+        self.cases[at].crashes.iter().any(|known| known.report == *report)
+    }
+
     /// Removes the crashes that do not count any more.
     fn forget(&mut self, now: Time) {
         for case in &mut self.cases {
@@ -142,6 +150,7 @@
                 return cleared && !std::mem::replace(&mut known.cleared, true);
             }
         }
+        self.forget(now);
         if self.cases.iter().map(|case| case.crashes.len()).sum::<usize>() >= MAX_REPORTS {
             self.drop_one();
         }
@@ -231,22 +240,21 @@
     }
 
     fn standing(&self, now: Time, print: Fingerprint) -> Standing {
-        let found = self.find(print).ok().map(|at| &self.cases[at]);
-        let recent = found.filter(|case| {
-            case.open().filter(|known| now.since(known.at) < RETENTION_US).count() >= CRASHES
-        });
-        let Some(case) = recent else { return Standing::Free };
-        let events = case.events();
-        let concluded = case.open().nth(CRASHES - 1).map_or(now, |known| known.at);
-        if events == 1 && now.since(concluded) < SETTLE_US {
+        let Ok(at) = self.find(print) else { return Standing::Free };
+        let is_recent = |known: &&Known| now.since(known.at) < RETENTION_US;
+        let crashes: Vec<&Known> = self.cases[at].open().filter(is_recent).collect();
+        let (Some(third), Some(last)) = (crashes.get(CRASHES - 1), crashes.last()) else {
+            return Standing::Free;
+        };
+        let events = count_events(&crashes);
+        if events == 1 && now.since(third.at) < SETTLE_US {
             return Standing::Free;
         }
-        if case.open().filter(|known| known.report.is_trial()).count() >= MAX_TRIALS {
+        if crashes.iter().filter(|known| known.report.is_trial()).count() >= MAX_TRIALS {
             return Standing::Refused;
         }
         let wait_us = TRIAL_WAITS_US[events.min(TRIAL_WAITS_US.len()) - 1];
-        let last = case.open().map(|known| known.at).max().unwrap_or(now);
-        match now.since(last).checked_sub(wait_us) {
+        match now.since(last.at).checked_sub(wait_us) {
             Some(since_us) if since_us % PLACE_US < BEGIN_US => {
                 Standing::Due { period: since_us / PLACE_US }
             }
