--- a/crates/sidecar/tests/endless.rs
+++ b/crates/sidecar/tests/endless.rs
@@ -146,7 +146,9 @@
 
 struct Behind {
     /// What bytes without end follow.
-    part: &'static str,
+    behaviour: &'static str,
+    /// The length of the request's body.
+    body_bytes: usize,
     /// What callers get.
     status: u16,
 }
@@ -157,27 +159,29 @@
     let mut deployment = Deployment::prepare(NODE, &[("dc-1", "a"), ("dc-1", "b")]).await;
     deployment.start_nodes().await;
     let cases = [
-        Behind { part: "after", status: 200 },
-        Behind { part: "refused", status: 503 },
-        Behind { part: "switch", status: 502 },
+        Behind { behaviour: "endless=after", body_bytes: 0, status: 200 },
+        Behind { behaviour: "endless=after early=100", body_bytes: 900_000, status: 200 },
+        Behind { behaviour: "endless=refused", body_bytes: 0, status: 503 },
+        Behind { behaviour: "endless=switch", body_bytes: 0, status: 502 },
     ];
     let target = &deployment.vms[0].target;
-    for Behind { part, status } in cases {
-        let behaviour = format!("endless={part}");
+    for (case, Behind { behaviour, body_bytes, status }) in cases.into_iter().enumerate() {
+        let body = "x".repeat(body_bytes);
         for at in 0..8 {
-            let id = format!("{part}-{at}");
+            let id = format!("behind-{case}-{at}");
             let request = TestRequest {
                 id: &id,
                 path: "/once/x",
-                behaviour: &behaviour,
+                behaviour,
+                body: &body,
                 timeout_ms: 500,
                 ..TestRequest::default()
             };
             let answer = deployment.send_request(at % 2, &request).await;
-            assert_eq!(answer.map(|answer| answer.status), Some(status), "{id}");
+            assert_eq!(answer.map(|answer| answer.status), Some(status), "{behaviour} {at}");
         }
         let closed = eventually(Duration::from_secs(1), async || target.endless_count() == 0).await;
-        assert!(closed, "{part}: {} connections are open", target.endless_count());
+        assert!(closed, "{behaviour}: {} connections are open", target.endless_count());
     }
     // The same for a body whose caller has left.
     for at in 0..2 {
