--- /dev/null
+++ b/review/stands-3/src/bin/clock-back.rs
@@ -0,0 +1,112 @@
+//! Case 14: a target that starts again under its id after the time of day of its VM jumped back, and
+//! then leaves.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use standin::caller::TestRequest;
+use standin::deployment::Deployment;
+use stands_3::{BROKEN, Case, HELD, NOT_RUN, count};
+
+/// How far the time of day jumps back, in milliseconds.
+const JUMP_MS: u64 = 2_000;
+/// How long the target runs before it crashes, and how long it is down.
+const RUN: Duration = Duration::from_millis(600);
+const DOWN: Duration = Duration::from_millis(600);
+/// `heartbeatS` of the settings.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// Heartbeats of the target that starts again before it leaves: longer than `contactS`, 3 s.
+const HEARTBEATS: u64 = 4;
+/// `drainS` of the pages' sites.
+const DRAIN: Duration = Duration::from_secs(2);
+/// How much later than `drainS` after the acknowledgement the judged requests are sent.
+const LATER: Duration = Duration::from_millis(500);
+/// Requests that are sent then, the pause between two, and their work.
+const REQUESTS: usize = 60;
+const PAUSE: Duration = Duration::from_millis(10);
+const WORK: &str = "work=100";
+
+const ID: &str = "i-vm-1";
+
+#[tokio::main]
+async fn main() {
+    let case = Case::open();
+    let status = match tokio::time::timeout(Duration::from_secs(60), run(case)).await {
+        Ok(status) => status,
+        Err(_) => NOT_RUN,
+    };
+    std::process::exit(status);
+}
+
+async fn run(mut case: Case) -> i32 {
+    let vms = [("dc-1", "b"), ("dc-1", "a"), ("dc-1", "a")];
+    let mut deployment = Deployment::prepare(&case.program, &vms).await;
+    deployment.start_nodes().await;
+    case.note(
+        "3 nodes run: vm-0 beside a target of service b, vm-1 and vm-2 beside ones of service a",
+    );
+    let vm = &deployment.vms[1];
+    let born = wall_ms();
+    let status = vm.heartbeat_as(ID, born, 1, "ready", 0.0).await;
+    case.note(format!("{ID} starts under its id, born {born}: answered {status}"));
+    tokio::time::sleep(RUN).await;
+    vm.target.crash();
+    case.note(format!("{ID} crashes"));
+    tokio::time::sleep(DOWN).await;
+    let jump_ms = if case.trouble { JUMP_MS } else { 0 };
+    let born = wall_ms() - jump_ms;
+    case.note(format!("the time of day of vm-1 jumped back by {jump_ms} ms"));
+    for sequence in 1..=HEARTBEATS {
+        let status = vm.heartbeat_as(ID, born, sequence, "ready", 0.0).await;
+        case.note(format!("{ID} runs again, born {born}, sequence {sequence}: answered {status}"));
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+    let status = vm.heartbeat_as(ID, born, HEARTBEATS + 1, "draining", 0.0).await;
+    let acknowledged = Instant::now();
+    case.note(format!("{ID} tells vm-1 that it is draining: answered {status}"));
+    if status != 200 {
+        return case.finish(NOT_RUN, "the target's heartbeat was not acknowledged");
+    }
+    // As the protocol has it for a target that leaves.
+    vm.target.set_unhealthy();
+    vm.target.set_headers("connection: close\r\n");
+    tokio::time::sleep(DRAIN + LATER).await;
+    let deployment = Arc::new(deployment);
+    let mut requests = Vec::new();
+    for number in 0..REQUESTS {
+        let deployment = deployment.clone();
+        requests.push(tokio::spawn(async move { send(&deployment, number).await }));
+        tokio::time::sleep(PAUSE).await;
+    }
+    let mut statuses = Vec::new();
+    for request in requests {
+        statuses.push(request.await.unwrap_or_default());
+    }
+    case.note(format!("{REQUESTS} unsafe requests sent to vm-0; answers: {}", count(statuses)));
+    let runs = deployment.vms[1].target.runs();
+    let late = runs.iter().filter(|run| run.started > acknowledged + DRAIN).count();
+    case.note(format!("{ID} ran {late} of them"));
+    if late > 0 {
+        let verdict = format!("broken: {late} requests reached {ID} later than drainS");
+        return case.finish(BROKEN, &verdict);
+    }
+    case.finish(HELD, &format!("held: no request reached {ID} later than drainS"))
+}
+
+async fn send(deployment: &Deployment, number: usize) -> u16 {
+    let id = format!("late-{number}");
+    let request = TestRequest {
+        method: "POST",
+        path: "/once/x",
+        id: &id,
+        behaviour: WORK,
+        body: "order",
+        ..TestRequest::default()
+    };
+    deployment.send_request(0, &request).await.map_or(0, |answer| answer.status)
+}
+
+fn wall_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    elapsed.as_millis() as u64
+}
