--- a/review/stands-3/src/bin/crowd.rs
+++ b/review/stands-3/src/bin/crowd.rs
@@ -1,11 +1,11 @@
-//! Case 11: callers that send further safe requests before the first is answered, and the memory of
+//! Callers that send further safe requests before the first is answered, and the memory of
 //! the node that reads the answers.
 
 use std::time::Duration;
 
 use standin::caller::{Caller, TestRequest};
 use standin::deployment::{Deployment, eventually};
-use stands_3::{BROKEN, Case, HELD, NOT_RUN, count};
+use stands_3::{BROKEN, Case, HELD, NOT_RUN, count, rest};
 
 /// The nodes of the deployment.
 const NODES: usize = 13;
@@ -48,12 +48,25 @@
         vm.set_limits(MEMORY_MB, MAX_FDS);
     }
     deployment.start_nodes().await;
+    deployment.set_routes(&[("/safe/", "a", "download")]);
+    let is_current = eventually(Duration::from_secs(5), async || {
+        let mut all = true;
+        for at in 0..NODES {
+            all &= deployment.is_current(at).await;
+        }
+        all
+    });
+    if !is_current.await {
+        return case.finish(NOT_RUN, "the nodes do not have the configuration");
+    }
     case.note(format!(
         "{NODES} nodes of {MEMORY_MB} MB run; each node uses at most {:.0} MB",
         deployment.vms.iter().map(|vm| vm.peak_memory()).max().unwrap_or_default() as f64 / 1e6
     ));
     let mut ends = [0; CROWDED];
+    let all: Vec<usize> = (0..NODES).collect();
     for round in 1..=MAX_ROUNDS {
+        rest(&mut deployment, Duration::ZERO, &all).await;
         for (at, ends) in ends.iter_mut().enumerate() {
             if *ends < MAX_ENDS && crowd(&mut case, &mut deployment, at, round).await {
                 *ends += 1;
--- a/review/stands-3/src/lib.rs
+++ b/review/stands-3/src/lib.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::path::PathBuf;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use standin::deployment::Deployment;
 
 /// The exit status if the rule held.
 pub const HELD: i32 = 0;
@@ -12,6 +14,9 @@
 /// The exit status if the case could not run.
 pub const NOT_RUN: i32 = 2;
 
+/// `heartbeatS` of the settings.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
 /// One run of a case.
 pub struct Case {
     /// The node's program.
@@ -75,3 +80,18 @@
         .collect();
     if texts.is_empty() { "none".to_owned() } else { texts.join(", ") }
 }
+
+/// Waits for some time, while the targets of the given VMs go on with their heartbeats.
+pub async fn rest(deployment: &mut Deployment, time: Duration, vms: &[usize]) {
+    let until = Instant::now() + time;
+    loop {
+        for at in vms {
+            deployment.vms[*at].heartbeat("ready", 0.0).await;
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left.min(HEARTBEAT)).await;
+    }
+}
