--- a/review/stands-3/src/bin/other-writer.rs
+++ b/review/stands-3/src/bin/other-writer.rs
@@ -1,21 +1,19 @@
-//! Case 12: a heartbeat of another writer, without the field `zone`, and a target that leaves.
+//! A heartbeat of another writer, without the field `zone`, that names a target of another service.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use standin::caller::TestRequest;
+use standin::caller::{TestRequest, send_request};
 use standin::deployment::Deployment;
 use stands_3::{BROKEN, Case, HELD, NOT_RUN, count};
 
-/// `drainS` of the pages' sites.
-const DRAIN: Duration = Duration::from_secs(2);
-/// How much later than `drainS` after the acknowledgement the judged requests are sent.
-const LATER: Duration = Duration::from_millis(500);
-/// Requests that are sent then, and their number a second.
-const REQUESTS: usize = 40;
+/// `heartbeatS` of the settings.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// The start of the target of service c; the others' is 1,000.
+const BORN: u64 = 2_000;
+/// Requests that are sent after the heartbeat, the pause between two, and their work.
+const REQUESTS: usize = 100;
 const PAUSE: Duration = Duration::from_millis(50);
-/// Requests that run while the leaving target ends, and their work.
-const LAST_REQUESTS: usize = 4;
-const LAST_WORK: &str = "work=1500";
+const WORK: &str = "work=100";
 
 #[tokio::main]
 async fn main() {
@@ -28,94 +26,79 @@
 }
 
 async fn run(mut case: Case) -> i32 {
-    let vms = [("dc-1", "b"), ("dc-1", "a"), ("dc-1", "a")];
+    let vms = [("dc-1", "b"), ("dc-1", "a"), ("dc-1", "a"), ("dc-1", "c")];
     let mut deployment = Deployment::prepare(&case.program, &vms).await;
     deployment.start_nodes().await;
-    case.note(
-        "3 nodes run: vm-0 beside a target of service b, vm-1 and vm-2 beside ones of service a",
-    );
+    case.note("4 nodes run: vm-0 beside a target of service b, vm-1 and vm-2 of a, vm-3 of c");
+    let status = deployment.vms[3].heartbeat_as("i-vm-3", BORN, 1, "ready", 0.0).await;
+    case.note(format!("i-vm-3 starts again, later than the other targets: answered {status}"));
     if case.trouble {
         let status = send_odd_heartbeat(&deployment).await;
         case.note(format!(
-            "another writer's heartbeat without `zone` to vm-2 names i-vm-1: answered {status}"
+            "another writer's heartbeat without `zone` to vm-2 names i-vm-3: answered {status}"
         ));
-        tokio::time::sleep(Duration::from_millis(500)).await;
-    }
-    let status = deployment.vms[1].heartbeat("draining", 0.0).await;
-    let acknowledged = Instant::now();
-    case.note(format!("i-vm-1 tells vm-1 that it is draining: answered {status}"));
-    // As the protocol has it for a target that leaves.
-    deployment.vms[1].target.set_unhealthy();
-    deployment.vms[1].target.set_headers("connection: close\r\n");
-    if status != 200 {
-        return case.finish(NOT_RUN, "the target's heartbeat was not acknowledged");
     }
-    tokio::time::sleep(DRAIN + LATER).await;
-    let mut statuses = Vec::new();
+    // The targets' own heartbeats go on.
+    let mut beats = 0;
+    let mut requests = Vec::new();
     for number in 0..REQUESTS {
-        let id = format!("late-{number}");
-        statuses.push(send(&deployment, &id, "work=20").await);
+        if PAUSE * number as u32 >= HEARTBEAT * beats {
+            beats += 1;
+            let (own, others) = deployment.vms.split_at_mut(3);
+            let mut acknowledged =
+                others[0].heartbeat_as("i-vm-3", BORN, 1 + u64::from(beats), "ready", 0.0).await
+                    == 200;
+            for vm in own {
+                acknowledged &= vm.heartbeat("ready", 0.0).await == 200;
+            }
+            if !acknowledged {
+                return case.finish(NOT_RUN, "a target's heartbeat was not acknowledged");
+            }
+        }
+        let address = deployment.vms[0].caller_address();
+        requests.push(tokio::spawn(async move { send(address, number).await }));
         tokio::time::sleep(PAUSE).await;
     }
-    case.note(format!("{REQUESTS} unsafe requests sent to vm-0; answers: {}", count(statuses)));
-    for vm in &deployment.vms[1..] {
-        let runs = vm.target.runs();
-        let late = runs.iter().filter(|run| run.started > acknowledged + DRAIN).count();
-        case.note(format!("{} ran {late} of them", vm.instance_id()));
-    }
-    end_target(&mut case, &deployment).await;
-    let runs = deployment.vms[1].target.runs();
-    let late = runs.iter().filter(|run| run.started > acknowledged + DRAIN).count();
-    if late > 0 {
-        let verdict = format!("broken: {late} requests reached i-vm-1 later than drainS");
-        return case.finish(BROKEN, &verdict);
+    let mut statuses = Vec::new();
+    for request in requests {
+        statuses.push(request.await.unwrap_or_default());
     }
-    case.finish(HELD, "held: no request reached i-vm-1 later than drainS")
-}
-
-/// Ends the leaving target while requests run, as it may once it has served for `drainS`.
-async fn end_target(case: &mut Case, deployment: &Deployment) {
-    let requests = async {
-        let mut statuses = Vec::new();
-        let sent = (0..LAST_REQUESTS).map(|number| format!("last-{number}")).collect::<Vec<_>>();
-        let (first, second, third, fourth) = tokio::join!(
-            send(deployment, &sent[0], LAST_WORK),
-            send(deployment, &sent[1], LAST_WORK),
-            send(deployment, &sent[2], LAST_WORK),
-            send(deployment, &sent[3], LAST_WORK),
-        );
-        statuses.extend([first, second, third, fourth]);
-        statuses
-    };
-    let end = async {
-        tokio::time::sleep(Duration::from_millis(500)).await;
-        deployment.vms[1].target.crash();
-    };
-    let (statuses, ()) = tokio::join!(requests, end);
     case.note(format!(
-        "i-vm-1 ends; {LAST_REQUESTS} unsafe requests were under way; answers: {}",
+        "{REQUESTS} unsafe requests for service a sent to vm-0; answers: {}; each target's own \
+         heartbeats acknowledged: {beats}",
         count(statuses)
     ));
+    for vm in &deployment.vms[1..] {
+        let runs = vm.target.runs().len();
+        case.note(format!("{} of service {} ran {runs}", vm.instance_id(), vm.service));
+    }
+    let foreign = deployment.vms[3].target.runs().len();
+    if foreign > 0 {
+        let verdict = format!("broken: the target of service c ran {foreign} requests for a");
+        return case.finish(BROKEN, &verdict);
+    }
+    case.finish(HELD, "held: only targets of service a ran requests for a")
 }
 
-async fn send(deployment: &Deployment, id: &str, behaviour: &str) -> u16 {
+async fn send(address: std::net::SocketAddr, number: usize) -> u16 {
+    let id = format!("order-{number}");
     let request = TestRequest {
         method: "POST",
         path: "/once/x",
-        id,
-        behaviour,
+        id: &id,
+        behaviour: WORK,
         body: "order",
         ..TestRequest::default()
     };
-    deployment.send_request(0, &request).await.map_or(0, |answer| answer.status)
+    send_request(address, &request).await.map_or(0, |answer| answer.status)
 }
 
 /// Sends a heartbeat that has every field but `zone` to the node on `vm-2`. Returns the answer's
 /// status.
 async fn send_odd_heartbeat(deployment: &Deployment) -> u16 {
     let body = format!(
-        r#"{{"service":"a","address":"{}","version":"v1","slots":8,"state":"ready","warmupLeftS":0,"sequence":4,"born":1000}}"#,
-        deployment.vms[1].target.address
+        r#"{{"service":"a","address":"{}","version":"v1","slots":8,"state":"ready","warmupLeftS":0,"sequence":4,"born":{BORN}}}"#,
+        deployment.vms[3].target.address
     );
-    deployment.vms[2].send_control("/api/rpc?call=instances.heartbeat&of=i-vm-1", &body).await
+    deployment.vms[2].send_control("/api/rpc?call=instances.heartbeat&of=i-vm-3", &body).await
 }
