--- a/review/stands-3/src/bin/clock-back.rs
+++ b/review/stands-3/src/bin/clock-back.rs
@@ -1,4 +1,4 @@
-//! Case 14: a target that starts again under its id after the time of day of its VM jumped back, and
+//! A target that starts again under its id after the time of day of its VM jumped back, and
 //! then leaves.
 
 use std::sync::Arc;
@@ -6,7 +6,7 @@
 
 use standin::caller::TestRequest;
 use standin::deployment::Deployment;
-use stands_3::{BROKEN, Case, HELD, NOT_RUN, count};
+use stands_3::{BROKEN, Case, HELD, NOT_RUN, count, rest};
 
 /// How far the time of day jumps back, in milliseconds.
 const JUMP_MS: u64 = 2_000;
@@ -45,32 +45,31 @@
     case.note(
         "3 nodes run: vm-0 beside a target of service b, vm-1 and vm-2 beside ones of service a",
     );
-    let vm = &deployment.vms[1];
     let born = wall_ms();
-    let status = vm.heartbeat_as(ID, born, 1, "ready", 0.0).await;
+    let status = deployment.vms[1].heartbeat_as(ID, born, 1, "ready", 0.0).await;
     case.note(format!("{ID} starts under its id, born {born}: answered {status}"));
-    tokio::time::sleep(RUN).await;
-    vm.target.crash();
+    rest(&mut deployment, RUN, &[0, 2]).await;
+    deployment.vms[1].target.crash();
     case.note(format!("{ID} crashes"));
-    tokio::time::sleep(DOWN).await;
+    rest(&mut deployment, DOWN, &[0, 2]).await;
     let jump_ms = if case.trouble { JUMP_MS } else { 0 };
     let born = wall_ms() - jump_ms;
     case.note(format!("the time of day of vm-1 jumped back by {jump_ms} ms"));
     for sequence in 1..=HEARTBEATS {
-        let status = vm.heartbeat_as(ID, born, sequence, "ready", 0.0).await;
+        let status = deployment.vms[1].heartbeat_as(ID, born, sequence, "ready", 0.0).await;
         case.note(format!("{ID} runs again, born {born}, sequence {sequence}: answered {status}"));
-        tokio::time::sleep(HEARTBEAT).await;
+        rest(&mut deployment, HEARTBEAT, &[0, 2]).await;
     }
-    let status = vm.heartbeat_as(ID, born, HEARTBEATS + 1, "draining", 0.0).await;
+    let status = deployment.vms[1].heartbeat_as(ID, born, HEARTBEATS + 1, "draining", 0.0).await;
     let acknowledged = Instant::now();
     case.note(format!("{ID} tells vm-1 that it is draining: answered {status}"));
     if status != 200 {
         return case.finish(NOT_RUN, "the target's heartbeat was not acknowledged");
     }
     // As the protocol has it for a target that leaves.
-    vm.target.set_unhealthy();
-    vm.target.set_headers("connection: close\r\n");
-    tokio::time::sleep(DRAIN + LATER).await;
+    deployment.vms[1].target.set_leaving(true);
+    deployment.vms[1].target.set_headers("server-leaving: 1\r\nconnection: close\r\n");
+    rest(&mut deployment, DRAIN + LATER, &[0, 2]).await;
     let deployment = Arc::new(deployment);
     let mut requests = Vec::new();
     for number in 0..REQUESTS {
--- a/review/stands-3/src/bin/other-service.rs
+++ b/review/stands-3/src/bin/other-service.rs
@@ -1,11 +1,11 @@
-//! Case 13: a VM whose settings name another service from some moment on, and the caller's service
+//! A VM whose settings name another service from some moment on, and the caller's service
 //! that targets are told.
 
 use std::time::Duration;
 
 use standin::caller::TestRequest;
 use standin::deployment::Deployment;
-use stands_3::{BROKEN, Case, HELD, NOT_RUN, count};
+use stands_3::{BROKEN, Case, HELD, NOT_RUN, count, rest};
 
 /// `addrReuseS` of the pages' sites.
 const ADDRESS_REUSE: Duration = Duration::from_secs(2);
@@ -33,10 +33,10 @@
     // The target of service b leaves and ends. After `addrReuseS` its address is another's.
     let left = deployment.vms[0].heartbeat("draining", 0.0).await;
     case.note(format!("the target of vm-0 is draining: answered {left}"));
-    tokio::time::sleep(ADDRESS_REUSE).await;
+    rest(&mut deployment, ADDRESS_REUSE, &[1, 2]).await;
     let gone = deployment.vms[0].deregister().await;
     case.note(format!("the target of vm-0 has ended: answered {gone}"));
-    tokio::time::sleep(ADDRESS_REUSE).await;
+    rest(&mut deployment, ADDRESS_REUSE, &[1, 2]).await;
     deployment.vms[0].target.set_id("i-next");
     if case.trouble {
         deployment.vms[0].service = "c";
@@ -50,7 +50,7 @@
     if next != 200 {
         return case.finish(NOT_RUN, "the next target's heartbeat was not acknowledged");
     }
-    tokio::time::sleep(RELOAD).await;
+    rest(&mut deployment, RELOAD, &[1, 2]).await;
     send(&mut case, &deployment, "after").await;
     let mut wrong = 0;
     for run in deployment.vms[1].target.runs() {
--- a/review/stands-3/src/bin/reused-vm.rs
+++ b/review/stands-3/src/bin/reused-vm.rs
@@ -1,4 +1,4 @@
-//! Case 15: a VM that goes to another service while it has no target, and a target whose first
+//! A VM that goes to another service while it has no target, and a target whose first
 //! heartbeat is late.
 
 use std::time::Duration;
@@ -6,7 +6,7 @@
 use standin::caller::{TestRequest, send_request};
 use standin::deployment::{Deployment, eventually};
 use standin::target::Target;
-use stands_3::{BROKEN, Case, HELD, NOT_RUN, count};
+use stands_3::{BROKEN, Case, HELD, NOT_RUN, count, rest};
 
 /// `addrReuseS` of the pages' sites.
 const ADDRESS_REUSE: Duration = Duration::from_secs(2);
@@ -38,7 +38,7 @@
     let address = deployment.vms[1].target.address;
     let left = deployment.vms[1].heartbeat("draining", 0.0).await;
     case.note(format!("the target of vm-1 is draining: answered {left}"));
-    tokio::time::sleep(ADDRESS_REUSE).await;
+    rest(&mut deployment, ADDRESS_REUSE, &[0, 2, 3]).await;
     let gone = deployment.vms[1].deregister().await;
     case.note(format!("the target of vm-1 ends: answered {gone}"));
     // Dropping the target closes its address.
@@ -64,7 +64,7 @@
     deployment.vms[1].rewrite_settings();
     deployment.vms[1].signal("-HUP").await;
     case.note(format!("the settings of vm-1 are written with service {service}; SIGHUP is sent"));
-    tokio::time::sleep(RELOAD).await;
+    rest(&mut deployment, RELOAD, &[0, 2, 3]).await;
     let Ok(target) = Target::bind(address, "i-next").await else {
         return case.finish(NOT_RUN, "cannot bind the target's address");
     };
