--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15.
+# Builds the stand-ins of case 11.
 set -eu
 cd "$(dirname "$0")/stands-3"
 cargo build --release --offline
