--- a/review/stands-3/src/bin/clock-back.rs
+++ b/review/stands-3/src/bin/clock-back.rs
@@ -18,8 +18,8 @@
 /// `heartbeatS` of the settings.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// What each heartbeat of the target that starts again says of the time until it is warm, in seconds.
-/// `warmupS` is 3. Together they last longer than `contactS`, 3 s.
-const COLD_S: [f64; 4] = [3.0, 1.5, 0.0, 0.0];
+/// `warmupS` is 3. Together they last as long as the jump, 6 s, and `contactS`, 3 s.
+const COLD_S: [f64; 6] = [3.0, 1.5, 0.0, 0.0, 0.0, 0.0];
 /// Heartbeats of the target while it leaves, the first of which is acknowledged.
 const LAST_HEARTBEATS: u64 = 2;
 /// `drainS` of the pages' sites.
